--- /dev/null
+++ b/filbertreach/settings/_check.py
@@ -0,0 +1,191 @@
+"""Checks INI text against a JSON Schema and converts its values."""
+
+import pathlib
+import re
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from filbertreach.schema import load_schema
+from filbertreach.settings._errors import SettingsError, SettingsProblem
+from filbertreach.settings._reader import IniSection, read_ini
+
+_TRUE_WORDS = ("true", "yes", "on", "1")
+_FALSE_WORDS = ("false", "no", "off", "0")
+
+
+class _BadValueError(ValueError):
+    """A value that its schema does not allow; the text says what is allowed."""
+
+
+def load(path: str | pathlib.Path, schema_name: str) -> Result[dict[str, Any], SettingsError]:
+    """Reads and checks an INI file.
+
+    Args:
+        path: The file.
+        schema_name: `settings` or `document`.
+
+    Returns:
+        Values by option by section, defaults filled in, or a SettingsError.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        problem = SettingsProblem(0, "", "", "", f"the file can't be read: {error}")
+        return Failure(SettingsError(source=str(path), problems=[problem]))
+    return load_text(text=text, source=str(path), schema_name=schema_name)
+
+
+def load_text(*, text: str, source: str, schema_name: str) -> Result[dict[str, Any], SettingsError]:
+    """Checks an INI text.
+
+    Args:
+        text: The whole text.
+        source: Name shown in errors.
+        schema_name: `settings` or `document`.
+
+    Returns:
+        Values by option by section, defaults filled in, or a SettingsError that lists all problems.
+    """
+    sections = read_ini(text=text, source=source)
+    if not isinstance(sections, Success):
+        return Failure(sections.failure())
+    problems: list[SettingsProblem] = []
+    values = _check_sections(sections.unwrap(), load_schema(schema_name), problems)
+    if problems:
+        return Failure(SettingsError(source=source, problems=problems))
+    return Success(values)
+
+
+def _check_sections(
+    sections: dict[str, IniSection], schema: dict[str, Any], problems: list[SettingsProblem]
+) -> dict[str, Any]:
+    values: dict[str, Any] = {}
+    for name, section in sections.items():
+        section_schema = _section_schema(name, schema)
+        if section_schema is None:
+            problems.append(
+                SettingsProblem(section.line, name, "", "", _unknown_section_message(schema))
+            )
+            continue
+        values[name] = _check_options(name, section, section_schema, problems)
+    for name in schema.get("required", []):
+        if name not in sections:
+            problems.append(SettingsProblem(0, name, "", "", "the section is required"))
+    for name, reference in schema["properties"].items():
+        section_schema = _resolve(reference, schema)
+        if name not in values and not section_schema.get("required"):
+            empty = IniSection(line=0, option_by_name={})
+            values[name] = _check_options(name, empty, section_schema, problems)
+    return values
+
+
+def _resolve(reference: dict[str, Any], schema: dict[str, Any]) -> dict[str, Any]:
+    name = reference["$ref"].rsplit("/", 1)[-1]
+    resolved: dict[str, Any] = schema["$defs"][name]
+    return resolved
+
+
+def _section_schema(name: str, schema: dict[str, Any]) -> dict[str, Any] | None:
+    if name in schema["properties"]:
+        return _resolve(schema["properties"][name], schema)
+    for pattern, reference in schema.get("patternProperties", {}).items():
+        if re.fullmatch(pattern.strip("^$"), name):
+            return _resolve(reference, schema)
+    return None
+
+
+def _unknown_section_message(schema: dict[str, Any]) -> str:
+    names = list(schema["properties"])
+    names += [
+        f"{pattern[1:].split(' ')[0]} NAME" for pattern in schema.get("patternProperties", {})
+    ]
+    return f"unknown section; allowed: {', '.join(names)}"
+
+
+def _check_options(
+    name: str, section: IniSection, schema: dict[str, Any], problems: list[SettingsProblem]
+) -> dict[str, Any]:
+    values: dict[str, Any] = {}
+    for option, written in section.option_by_name.items():
+        option_schema = schema["properties"].get(option)
+        if option_schema is None:
+            allowed = ", ".join(schema["properties"])
+            message = f"unknown option; allowed: {allowed}"
+            problems.append(SettingsProblem(written.line, name, option, written.value, message))
+            continue
+        try:
+            values[option] = _convert(written.value, option_schema)
+        except _BadValueError as error:
+            message = str(error)
+            problems.append(SettingsProblem(written.line, name, option, written.value, message))
+    for option in schema.get("required", []):
+        if option not in section.option_by_name:
+            message = f"the option is required: {schema['properties'][option]['description']}"
+            problems.append(SettingsProblem(section.line, name, option, "", message))
+    for option, option_schema in schema["properties"].items():
+        if "default" in option_schema:
+            values.setdefault(option, option_schema["default"])
+    return values
+
+
+def _convert(text: str, schema: dict[str, Any]) -> Any:
+    if "enum" in schema:
+        if text not in schema["enum"]:
+            raise _BadValueError(f"allowed: {', '.join(schema['enum'])}")
+        return text
+    match schema["type"]:
+        case "integer":
+            return _checked_number(text, int, "a whole number", schema)
+        case "number":
+            return _checked_number(text, float, "a number", schema)
+        case "boolean":
+            return _checked_boolean(text)
+        case "array":
+            return _checked_list(text, schema)
+        case _:
+            return _checked_string(text, schema)
+
+
+def _checked_number(text: str, kind: type, kind_name: str, schema: dict[str, Any]) -> int | float:
+    low, high = schema.get("minimum"), schema.get("maximum")
+    bounds = f" from {low}" if low is not None else ""
+    bounds += f" to {high}" if high is not None else ""
+    allowed = f"allowed: {kind_name}{bounds}"
+    try:
+        value: int | float = kind(text)
+    except ValueError:
+        raise _BadValueError(allowed) from None
+    # The comparisons are written so that NaN fails them.
+    if (low is not None and not value >= low) or (high is not None and not value <= high):
+        raise _BadValueError(allowed)
+    if value != value or value in (float("inf"), float("-inf")):
+        raise _BadValueError(allowed)
+    return value
+
+
+def _checked_boolean(text: str) -> bool:
+    if text.lower() in _TRUE_WORDS:
+        return True
+    if text.lower() in _FALSE_WORDS:
+        return False
+    raise _BadValueError("allowed: true or false")
+
+
+def _checked_list(text: str, schema: dict[str, Any]) -> list[str]:
+    if schema.get("x-split") == "lines":
+        items = [line.strip() for line in text.splitlines() if line.strip()]
+    else:
+        items = text.replace(",", " ").split()
+    if len(items) < schema.get("minItems", 0):
+        raise _BadValueError(f"at least {schema['minItems']} item is needed")
+    return items
+
+
+def _checked_string(text: str, schema: dict[str, Any]) -> str:
+    if len(text) < schema.get("minLength", 0):
+        raise _BadValueError("the value must not be empty")
+    pattern = schema.get("pattern")
+    if pattern and not re.search(pattern, text):
+        raise _BadValueError(f"must match {pattern}: {schema['description']}")
+    return text
--- /dev/null
+++ b/filbertreach/settings/tests/test_check.py
@@ -0,0 +1,52 @@
+"""Guards against settings errors that do not tell a person what to correct."""
+
+import pytest
+from returns.result import Success
+
+from filbertreach.settings import load_text
+
+_GOOD = """\
+[process]
+name = entry-1
+host = host-1
+region = minho
+data_centre = minho-1
+inbox = 127.0.0.1:7100
+http = 127.0.0.1:8080
+"""
+
+
+def _load(text):
+    return load_text(text=text, source="test.ini", schema_name="settings")
+
+
+def test_defaults_are_filled_in():
+    values = _load(_GOOD).unwrap()
+    assert values["process"]["drain_seconds"] == 20
+    assert values["entry"]["max_rows"] == 10000
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        (_GOOD + "inbx = 1\n", "line 8: [process] inbx = '1': unknown option; allowed: name"),
+        (_GOOD + "[entri]\n", "line 8: [entri]: unknown section; allowed: process"),
+        (
+            _GOOD + "[entry]\nmax_rows = none\n",
+            "[entry] max_rows = 'none': allowed: a whole number",
+        ),
+        (_GOOD + "[entry]\nmax_rows = 0\n", "line 9: [entry] max_rows = '0': allowed: a whole"),
+        (_GOOD + "drain_seconds = nan\n", "allowed: a number from 0 to 300"),
+        (_GOOD + "name = again\n", "line 8: [process] name: the option is written twice"),
+        (_GOOD + "[process]\n", "line 8: [process]: the section is written twice"),
+        ("name = x\n", "line 1: text before the first section"),
+        ("[process]\nname = x\n", "line 1: [process] host: the option is required"),
+        (_GOOD.replace("127.0.0.1:8080", "localhost"), "[process] http = 'localhost': must match"),
+        (_GOOD + "[dispatch]\nhedge = perhaps\n", "allowed: true or false"),
+        (_GOOD + "[observability]\nlog_level = loud\n", "allowed: debug, info, warning, error"),
+    ],
+)
+def test_error_names_the_place_and_what_is_allowed(text, expected):
+    result = _load(text)
+    assert not isinstance(result, Success)
+    assert expected in str(result.failure())
--- /dev/null
+++ b/filbertreach/timing/__init__.py
@@ -0,0 +1,6 @@
+"""Clocks and the timer service that other parts subscribe to."""
+
+from filbertreach.timing._clock import Clock, FakeClock, SystemClock
+from filbertreach.timing._service import Subscription, TimerService
+
+__all__ = ["Clock", "FakeClock", "Subscription", "SystemClock", "TimerService"]
