Add the transport between processes

Cause: entry, dispatch and agent processes need batched messages that arrive at most once, also when a connection goes silent or the peer restarts. Change: Pull0 inbox and one Push0 outbox a peer; frames are numbered per epoch, acknowledged, sent again over a new connection after 1.2 s, and bound to the receiver's incarnation; delay is estimated per frame without synchronised clocks.

--- a/filbertreach/schema/_generated_messages.py
+++ b/filbertreach/schema/_generated_messages.py
@@ -340,11 +340,27 @@
     """
     epoch: int
     """
-    New for each connection of the sender's outbox, increasing.
+    Increases each time the sender gives up frames that were not acknowledged.
     """
     sequence: int
     """
-    Position in the epoch, from 1.
+    Position in the epoch, from 1; 0 for a frame without messages.
+    """
+    receiver_incarnation: int
+    """
+    Incarnation of the receiver that the frame is meant for; 0 only in frames without messages.
+    """
+    sent_at: float
+    """
+    Sender's clock when the frame was first sent, in seconds.
+    """
+    acknowledged_epoch: int
+    """
+    Epoch of the last frame accepted from the receiver, 0 for none.
+    """
+    acknowledged_sequence: int
+    """
+    Sequence of the last frame accepted from the receiver in that epoch.
     """
     messages: list[dict[str, Any]]
     """
--- /dev/null
+++ b/filbertreach/transport/__init__.py
@@ -0,0 +1,7 @@
+"""Frames of messages between filbertreach processes, delivered at most once and in order."""
+
+from filbertreach.transport._errors import TransportError
+from filbertreach.transport._peer import Peer, PeerState
+from filbertreach.transport._transport import PeerEvents, Received, Transport
+
+__all__ = ["Peer", "PeerEvents", "PeerState", "Received", "Transport", "TransportError"]
--- /dev/null
+++ b/filbertreach/transport/_transport.py
@@ -0,0 +1,323 @@
+"""Inbox and outboxes of one process.
+
+Delivery is at most once and in order for each pair of incarnations: frames are numbered,
+acknowledged, and sent again over a new connection when a connection swallows them. Frames are only
+sent to an incarnation that was heard, so that a restarted peer never receives what was meant for
+its predecessor.
+"""
+
+import logging
+from types import TracebackType
+from typing import Any, NamedTuple, Protocol, Self, cast
+
+import anyio
+import anyio.abc
+import msgspec
+import pynng
+
+from filbertreach.schema import Frame
+from filbertreach.timing import Clock, SystemClock
+from filbertreach.transport._errors import TransportError
+from filbertreach.transport._peer import Peer, PeerState, SentFrame
+
+HEARTBEAT_SECONDS = 0.5
+"""Longest time without a frame to a peer."""
+SILENCE_SECONDS = 2.0
+"""A peer unheard for this long is silent."""
+_REPLACE_CONNECTION_SECONDS = 1.2
+"""A frame unacknowledged for this long means that the connection swallows data. More than two
+heartbeats, which carry the acknowledgement if nothing else does."""
+_PAUSE_SECONDS = 1.0
+"""An outbox task that wakes this much too late was paused together with the process."""
+_FORGET_SECONDS = 60.0
+"""A peer neither used nor kept for this long is forgotten."""
+_MAX_FRAME_BYTES = 64 * 1024 * 1024
+_MAX_MESSAGES_PER_FRAME = 1000
+_MAX_UNACKNOWLEDGED_FRAMES = 4000
+_SEND_TIMEOUT_MS = 500
+_RECONNECT_MIN_MS = 20
+_RECONNECT_MAX_MS = 500
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Received(NamedTuple):
+    """A message with what is known of its way."""
+
+    sender: str
+    """Process name of the sender."""
+    address: str
+    """ip:port of the sender's inbox; where answers go."""
+    incarnation: int
+    """Incarnation of the sender."""
+    delay_seconds: float
+    """Time under way beyond the fastest recent frame, for example in a paused process."""
+    message: dict[str, Any]
+    """The message."""
+
+
+class PeerEvents(Protocol):
+    """What the owner of a transport is told."""
+
+    def on_message(self, received: Received) -> None:
+        """Handles one message."""
+
+    def on_peer_lost(self, peer: Peer) -> None:
+        """Handles a peer that is silent or was restarted; undelivered messages were dropped."""
+
+
+class Transport:
+    """Inbox of this process and an outbox with a task of its own for each peer."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: str,
+        incarnation: int,
+        events: PeerEvents,
+        clock: Clock | None = None,
+        listen_address: str | None = None,
+    ) -> None:
+        """Prepares a transport; enter it to listen.
+
+        Args:
+            name: Process name.
+            address: ip:port at which peers reach the inbox.
+            incarnation: New for each process start.
+            events: Receiver of messages and of lost peers.
+            clock: Source of time.
+            listen_address: ip:port to listen on if it differs from `address`.
+        """
+        self.name = name
+        self.address = address
+        self.incarnation = incarnation
+        self.peer_by_address: dict[str, Peer] = {}
+        self._listen_address = listen_address or address
+        self._events = events
+        self._clock: Clock = clock or SystemClock()
+        self._kept: set[str] = set()
+        self._inbox: pynng.Pull0 | None = None
+        self._group: anyio.abc.TaskGroup | None = None
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Frame)
+
+    async def __aenter__(self) -> Self:
+        """Listens and starts the inbox task.
+
+        Raises:
+            TransportError: The address can't be listened on.
+        """
+        try:
+            self._inbox = pynng.Pull0(
+                listen=f"tcp://{self._listen_address}", recv_max_size=_MAX_FRAME_BYTES
+            )
+        except pynng.NNGException as error:
+            raise TransportError(f"can't listen on {self._listen_address}: {error}") from error
+        self._group = anyio.create_task_group()
+        await self._group.__aenter__()
+        self._group.start_soon(self._run_inbox, name="inbox")
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> bool | None:
+        """Stops all tasks and closes the sockets."""
+        assert self._group is not None and self._inbox is not None
+        self._group.cancel_scope.cancel()
+        result = await self._group.__aexit__(kind, error, trace)
+        self._inbox.close()
+        return result
+
+    def send(self, *, address: str, message: Any) -> bool:
+        """Queues a message for a peer.
+
+        Args:
+            address: ip:port of the peer's inbox.
+            message: A message of `filbertreach.schema`.
+
+        Returns:
+            False if the peer is silent or does not acknowledge; the message was then not queued.
+        """
+        peer = self._peer(address)
+        if peer.state is PeerState.SILENT:
+            return False
+        if len(peer.unacknowledged) >= _MAX_UNACKNOWLEDGED_FRAMES:
+            return False
+        peer.last_used = self._clock.now()
+        peer.waiting.append(cast(dict[str, Any], message))
+        peer.notify()
+        return True
+
+    def keep(self, addresses: set[str]) -> None:
+        """Sets the peers whose links stay open without traffic.
+
+        Args:
+            addresses: ip:port of inboxes.
+        """
+        self._kept = addresses - {self.address}
+        for address in self._kept:
+            self._peer(address)
+
+    def is_reachable(self, address: str) -> bool:
+        """Returns whether the peer was heard within the silence bound."""
+        peer = self.peer_by_address.get(address)
+        return peer is not None and peer.state is PeerState.REACHABLE
+
+    async def flush(self, *, seconds: float) -> bool:
+        """Waits until every reachable peer has acknowledged everything.
+
+        Args:
+            seconds: Longest wait.
+
+        Returns:
+            Whether everything was acknowledged.
+        """
+        with anyio.move_on_after(seconds):
+            while any(
+                peer.waiting or peer.unacknowledged
+                for peer in self.peer_by_address.values()
+                if peer.state is PeerState.REACHABLE
+            ):
+                await anyio.sleep(0.02)
+            return True
+        return False
+
+    def _peer(self, address: str) -> Peer:
+        peer = self.peer_by_address.get(address)
+        if peer is None:
+            assert self._group is not None
+            peer = Peer(address=address, created_at=self._clock.now())
+            self.peer_by_address[address] = peer
+            self._group.start_soon(self._run_outbox, peer, name=f"outbox {address}")
+        return peer
+
+    async def _run_inbox(self) -> None:
+        assert self._inbox is not None
+        while True:
+            data = await self._inbox.arecv()
+            try:
+                frame = self._decoder.decode(data)
+            except msgspec.DecodeError as error:
+                _LOGGER.warning("frame dropped: %s", error)
+                continue
+            self._handle_frame(frame)
+
+    def _handle_frame(self, frame: Frame) -> None:
+        peer = self._peer(frame["address"])
+        if not peer.accepts_incarnation(frame["incarnation"]):
+            return
+        self._heard(peer, frame)
+        if frame["receiver_incarnation"] != self.incarnation:
+            # Meant for a predecessor. The next heartbeat tells the sender this incarnation.
+            return
+        peer.acknowledge(epoch=frame["acknowledged_epoch"], sequence=frame["acknowledged_sequence"])
+        if not frame["messages"]:
+            return
+        peer.acknowledgement_due = True
+        if not peer.accept(epoch=frame["epoch"], sequence=frame["sequence"]):
+            return
+        delay = peer.delay.delay_seconds(sent_at=frame["sent_at"], received_at=self._clock.now())
+        for message in frame["messages"]:
+            self._events.on_message(
+                Received(peer.name, peer.address, peer.incarnation, delay, message)
+            )
+
+    def _heard(self, peer: Peer, frame: Frame) -> None:
+        peer.last_heard = self._clock.now()
+        peer.state = PeerState.REACHABLE
+        peer.name = frame["sender"]
+        if frame["incarnation"] == peer.incarnation:
+            return
+        was_known = peer.incarnation != 0
+        peer.begin_incarnation(frame["incarnation"])
+        if was_known:
+            peer.give_up_unacknowledged()
+            self._events.on_peer_lost(peer)
+        peer.acknowledgement_due = True
+        peer.notify()
+
+    async def _run_outbox(self, peer: Peer) -> None:
+        while self.peer_by_address.get(peer.address) is peer:
+            self._note_silence(peer, self._clock.now(), paused=False)
+            with pynng.Push0(
+                send_timeout=_SEND_TIMEOUT_MS,
+                reconnect_time_min=_RECONNECT_MIN_MS,
+                reconnect_time_max=_RECONNECT_MAX_MS,
+            ) as socket:
+                socket.dial(f"tcp://{peer.address}", block=False)
+                try:
+                    await self._serve_connection(peer, socket)
+                except pynng.NNGException as error:
+                    _LOGGER.debug("connection to %s replaced: %s", peer.address, error)
+
+    async def _serve_connection(self, peer: Peer, socket: pynng.Push0) -> None:
+        """Sends over one connection until it has to be replaced or the peer is forgotten."""
+        opened_at = self._clock.now()
+        for sent in list(peer.unacknowledged):
+            if sent.epoch == peer.epoch:
+                await self._send(peer, socket, sent)
+        await self._send(peer, socket, None)
+        while True:
+            wait_from = self._clock.now()
+            with anyio.move_on_after(HEARTBEAT_SECONDS):
+                await peer.wake.wait()
+            peer.wake = anyio.Event()
+            now = self._clock.now()
+            self._note_silence(peer, now, paused=now - wait_from > _PAUSE_SECONDS)
+            if self._is_forgotten(peer, now):
+                return
+            if peer.waiting and peer.incarnation:
+                await self._send_waiting(peer, socket)
+            else:
+                await self._send(peer, socket, None)
+            oldest = peer.unacknowledged[0].sent_at if peer.unacknowledged else now
+            if now - max(oldest, opened_at) > _REPLACE_CONNECTION_SECONDS:
+                return
+
+    async def _send_waiting(self, peer: Peer, socket: pynng.Push0) -> None:
+        while peer.waiting:
+            messages = peer.waiting[:_MAX_MESSAGES_PER_FRAME]
+            del peer.waiting[:_MAX_MESSAGES_PER_FRAME]
+            peer.sequence += 1
+            sent = SentFrame(
+                peer.incarnation, peer.epoch, peer.sequence, self._clock.now(), messages
+            )
+            peer.unacknowledged.append(sent)
+            await self._send(peer, socket, sent)
+
+    async def _send(self, peer: Peer, socket: pynng.Push0, sent: SentFrame | None) -> None:
+        peer.acknowledgement_due = False
+        frame = Frame(
+            sender=self.name,
+            address=self.address,
+            incarnation=self.incarnation,
+            receiver_incarnation=sent.receiver_incarnation if sent else peer.incarnation,
+            epoch=sent.epoch if sent else peer.epoch,
+            sequence=sent.sequence if sent else 0,
+            sent_at=sent.sent_at if sent else self._clock.now(),
+            acknowledged_epoch=peer.received_epoch,
+            acknowledged_sequence=peer.received_sequence,
+            messages=sent.messages if sent else [],
+        )
+        await socket.asend(self._encoder.encode(frame))
+
+    def _note_silence(self, peer: Peer, now: float, *, paused: bool) -> None:
+        if paused:
+            # After a pause of this process the peers' frames wait unread in the inbox.
+            peer.last_heard = now
+        if peer.state is not PeerState.SILENT and now - peer.last_heard > SILENCE_SECONDS:
+            peer.state = PeerState.SILENT
+            peer.give_up_unacknowledged()
+            self._events.on_peer_lost(peer)
+
+    def _is_forgotten(self, peer: Peer, now: float) -> bool:
+        if peer.address in self._kept:
+            return False
+        if now - max(peer.last_used, peer.last_heard) <= _FORGET_SECONDS:
+            return False
+        self.peer_by_address.pop(peer.address, None)
+        return True
--- /dev/null
+++ b/filbertreach/transport/tests/test_transport.py
@@ -0,0 +1,137 @@
+"""Guards against lost, repeated or crossed messages when connections fail and peers restart."""
+
+import contextlib
+import socket
+
+import anyio
+import pytest
+
+from filbertreach.transport import Transport
+from filbertreach.transport._delay import DelayEstimator
+from filbertreach_standins.relay import Relay
+
+_WAIT_SECONDS = 30
+
+
+def _free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class _Events:
+    def __init__(self):
+        self.messages = []
+        self.lost = []
+
+    def on_message(self, received):
+        self.messages.append(received.message["number"])
+
+    def on_peer_lost(self, peer):
+        self.lost.append(peer.address)
+
+
+async def _until(condition):
+    with anyio.fail_after(_WAIT_SECONDS):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def _pair():
+    """Two transports; everything sent to the second one passes through a relay."""
+    near_events, far_events = _Events(), _Events()
+    far_listen = _free_address()
+    async with Relay(target=far_listen) as relay:
+        near = Transport(name="near", address=_free_address(), incarnation=1, events=near_events)
+        far = Transport(
+            name="far",
+            address=relay.address,
+            listen_address=far_listen,
+            incarnation=2,
+            events=far_events,
+        )
+        async with near, far:
+            yield near, far, relay, near_events, far_events
+
+
+@pytest.mark.parametrize("fault", ["none", "silence", "cut", "silence twice"])
+def test_each_message_arrives_exactly_once_and_in_order(fault):
+    async def run():
+        async with _pair() as (near, far, relay, near_events, far_events):
+            for number in range(300):
+                near.send(address=far.address, message={"kind": "test", "number": number})
+                if number in (100, 200) and fault != "none":
+                    await _until(lambda: far_events.messages)
+                    if fault == "cut":
+                        await relay.cut()
+                    elif (fault == "silence" and number == 100) or fault == "silence twice":
+                        relay.silence()
+                await anyio.sleep(0.001)
+            await _until(lambda: len(far_events.messages) >= 300)
+            await anyio.sleep(0.1)
+            assert far_events.messages == list(range(300))
+            assert near_events.lost == []
+
+    anyio.run(run)
+
+
+def test_a_restarted_peer_receives_nothing_meant_for_its_predecessor():
+    async def run():
+        near_events, old_events, new_events = _Events(), _Events(), _Events()
+        listen = _free_address()
+        async with Relay(target=listen) as relay:
+            address = relay.address
+            near = Transport(name="n", address=_free_address(), incarnation=1, events=near_events)
+            async with near:
+                old = Transport(
+                    name="f",
+                    address=address,
+                    listen_address=listen,
+                    incarnation=2,
+                    events=old_events,
+                )
+                async with old:
+                    near.send(address=address, message={"kind": "test", "number": 0})
+                    await _until(lambda: old_events.messages == [0])
+                    relay.silence()
+                    near.send(address=address, message={"kind": "test", "number": 1})
+                    await anyio.sleep(0.05)
+                new = Transport(
+                    name="f",
+                    address=address,
+                    listen_address=listen,
+                    incarnation=3,
+                    events=new_events,
+                )
+                async with new:
+                    await _until(lambda: near_events.lost and near.is_reachable(address))
+                    near.send(address=address, message={"kind": "test", "number": 2})
+                    await _until(lambda: new_events.messages)
+                    await anyio.sleep(0.1)
+        assert old_events.messages == [0]
+        assert new_events.messages == [2]
+        assert near_events.lost[0] == address
+
+    anyio.run(run)
+
+
+def test_a_silent_peer_is_reported_and_refuses_messages():
+    async def run():
+        events = _Events()
+        near = Transport(name="n", address=_free_address(), incarnation=1, events=events)
+        async with near:
+            missing = _free_address()
+            assert near.send(address=missing, message={"kind": "test", "number": 0})
+            await _until(lambda: events.lost == [missing])
+            assert not near.send(address=missing, message={"kind": "test", "number": 1})
+
+    anyio.run(run)
+
+
+def test_delay_is_measured_against_the_fastest_recent_frame():
+    estimator = DelayEstimator()
+    cases = [(100.0, 5.0, 0.0), (101.0, 6.5, 0.5), (102.0, 6.9, 0.0), (103.0, 18.0, 10.1)]
+    for sent_at, received_at, expected in cases:
+        delay = estimator.delay_seconds(sent_at=sent_at, received_at=received_at)
+        assert delay == pytest.approx(expected)
