--- /dev/null
+++ b/filbertreach_standins/leaf/_answers.py
@@ -0,0 +1,123 @@
+"""Answers of a simulated backend server, correct and corrupted."""
+
+import zlib
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from filbertreach_standins._faults import Fault, Trigger
+
+_CACHE_LIMIT = 10_000
+"""Cached combinations of shard, version and number of rows."""
+
+
+class AnswerParts(NamedTuple):
+    """What identifies an answer."""
+
+    call_id: str
+    """Call id of the request."""
+    shard: str
+    """Shard searched."""
+    version: int
+    """Index version searched."""
+    rows: int
+    """Number of rows."""
+
+
+class AnswerWriter:
+    """Writes bodies; all but the call id is cached."""
+
+    def __init__(self) -> None:
+        """Starts with an empty cache."""
+        self._tail_by_key: dict[tuple[str, int, int], bytes] = {}
+
+    def body(self, parts: AnswerParts) -> bytes:
+        """Returns the correct body for a call, as JSON."""
+        key = parts[1:]
+        tail = self._tail_by_key.get(key)
+        if tail is None:
+            encoded = msgspec.json.encode(answer(parts))
+            tail = encoded[encoded.index(b',"shard"') :]
+            if len(self._tail_by_key) < _CACHE_LIMIT:
+                self._tail_by_key[key] = tail
+        return b'{"call_id":' + msgspec.json.encode(parts.call_id) + tail
+
+
+def answer(parts: AnswerParts) -> dict[str, Any]:
+    """Returns the correct answer to a call.
+
+    Rows depend only on shard, version and their number, so that a test can compute them.
+    """
+    shard, version = parts.shard, parts.version
+    rows = [
+        {
+            "id": f"{shard}-{index}",
+            "shard": shard,
+            "version": version,
+            "score": zlib.crc32(f"{shard}/{version}/{index}".encode()) % 10_000 / 10_000,
+        }
+        for index in range(parts.rows)
+    ]
+    return {"call_id": "", "shard": shard, "version": version, "rows": rows, "row_count": len(rows)}
+
+
+Corruption = Callable[[AnswerParts], bytes]
+
+_corruption_by_name: dict[str, Corruption] = {}
+_meaning_by_name: dict[str, str] = {}
+
+
+def _corruption(name: str, meaning: str) -> Callable[[Corruption], Corruption]:
+    def register(function: Corruption) -> Corruption:
+        _corruption_by_name[name] = function
+        _meaning_by_name[name] = f"trigger: {meaning}"
+        return function
+
+    return register
+
+
+def _changed(parts: AnswerParts, **changes: Any) -> bytes:
+    return msgspec.json.encode({**answer(parts), "call_id": parts.call_id, **changes})
+
+
+@_corruption("garbage_body", "status 200 with a body that is not JSON")
+def _garbage(parts: AnswerParts) -> bytes:
+    return b"\x00\xff<html>" + parts.call_id.encode()
+
+
+@_corruption("wrong_call_id", "the body names another call id")
+def _wrong_call_id(parts: AnswerParts) -> bytes:
+    return _changed(parts, call_id=f"not-{parts.call_id}")
+
+
+@_corruption("wrong_version", "body and rows are of the next index version")
+def _wrong_version(parts: AnswerParts) -> bytes:
+    return _changed(parts._replace(version=parts.version + 1))
+
+
+@_corruption("wrong_shard", "body and rows are of another shard")
+def _wrong_shard(parts: AnswerParts) -> bytes:
+    return _changed(parts._replace(shard=f"not-{parts.shard}"))
+
+
+@_corruption("wrong_row_count", "row_count is one more than the number of rows")
+def _wrong_row_count(parts: AnswerParts) -> bytes:
+    return _changed(parts, row_count=parts.rows + 1)
+
+
+@_corruption("duplicate_rows", "every row comes twice, and row_count counts both")
+def _duplicate_rows(parts: AnswerParts) -> bytes:
+    rows = answer(parts)["rows"] * 2
+    return _changed(parts, rows=rows, row_count=len(rows))
+
+
+CORRUPTION_FAULTS = tuple(
+    Fault(name, False, Trigger, meaning) for name, meaning in _meaning_by_name.items()
+)
+"""Faults that change the body of an answer."""
+
+
+def corrupted(name: str, parts: AnswerParts) -> bytes:
+    """Returns the body that a fault of `CORRUPTION_FAULTS` gives."""
+    return _corruption_by_name[name](parts)
--- /dev/null
+++ b/filbertreach_standins/leaf/_leaf.py
@@ -0,0 +1,421 @@
+"""A simulated backend server."""
+
+import random
+from typing import Any
+
+import anyio
+import msgspec
+
+from filbertreach.timing import SystemClock
+from filbertreach_standins._server import (
+    Connection,
+    Header,
+    Receive,
+    Send,
+    StandIn,
+    read_body,
+    send_bytes,
+    send_json,
+)
+from filbertreach_standins.leaf._answers import (
+    CORRUPTION_FAULTS,
+    AnswerParts,
+    AnswerWriter,
+    corrupted,
+)
+from filbertreach_standins.leaf._definition import LeafDefinition
+from filbertreach_standins.leaf._faults import LEAF_FAULTS
+from filbertreach_standins.leaf._record import Execution, ExecutionRecord
+from filbertreach_standins.leaf._reports import Report, ReportHistory
+from filbertreach_standins.leaf._slots import Slots
+
+_NOT_STARTED: Header = (b"x-not-started", b"true")
+_CANCELLED = 499
+_SAMPLE_SECONDS = 0.05
+"""How often the state is recorded while reports lag."""
+_CALLS_PATH = "/v1/calls/"
+
+
+class _Call:
+    """A call in progress."""
+
+    __slots__ = (
+        "call_id",
+        "cancelled",
+        "execution",
+        "query",
+        "rank",
+        "remaining_seconds",
+        "scope",
+        "shard",
+        "version",
+    )
+
+    def __init__(self, headers: dict[bytes, bytes], body: bytes) -> None:
+        """Reads the headers and the body of a call.
+
+        Raises:
+            ValueError: A header or the body has a wrong form.
+        """
+        self.call_id = headers[b"x-call-id"].decode()
+        self.shard = headers[b"x-shard"].decode()
+        self.version = int(headers[b"x-index-version"])
+        self.rank = headers.get(b"x-rank", b"").decode()
+        deadline = headers.get(b"x-deadline-ms")
+        self.remaining_seconds = None if deadline is None else float(deadline) / 1000
+        self.query: dict[str, Any] = msgspec.json.decode(body) if len(body) > 2 else {}
+        if not isinstance(self.query, dict):
+            raise ValueError("the query is not a JSON object")
+        self.execution: Execution | None = None
+        self.scope: anyio.CancelScope | None = None
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        """Stops the call, because its caller asked for it or disconnected."""
+        self.cancelled = True
+        if self.scope is not None:
+            self.scope.cancel()
+
+
+class Leaf(StandIn):
+    """Serves one simulated backend server."""
+
+    def __init__(self, definition: LeafDefinition) -> None:
+        """Creates a leaf that starts now.
+
+        Args:
+            definition: Its properties.
+        """
+        super().__init__(
+            faults=LEAF_FAULTS,
+            generator=random.Random(f"{definition.seed}/{definition.leaf_id}"),
+            connection_limit=definition.connections,
+        )
+        self.definition = definition
+        self._clock = SystemClock()
+        self._answers = AnswerWriter()
+        self._history = ReportHistory()
+        self._slots = Slots(slots=definition.slots, queue=definition.queue)
+        self._calls_by_id: dict[str, _Call] = {}
+        self._in_flight = 0
+        self._versions: tuple[int, ...] = ()
+        self._shards: frozenset[str] = frozenset()
+        self._last_answer: AnswerParts | None = None
+        self.faults_changed(set())
+        self.restart()
+        self._clear_counters()
+
+    def _clear_counters(self) -> None:
+        self._record = ExecutionRecord()
+        self._in_flight_peak = self._in_flight
+        self._received = 0
+        self._last_received_at: float | None = None
+        self._answers_by_status: dict[int, int] = {}
+
+    def restart(self) -> None:
+        """Begins the starting and cold phases again."""
+        self._ready_at = self._clock.now() + self.definition.starting_seconds
+        self._warm_at = self._ready_at + self.definition.cold_seconds
+
+    def reset(self) -> None:
+        """Clears counters and executions; calls in progress go on."""
+        self._clear_counters()
+        self._history.clear()
+        self.faults_changed(set())
+
+    def faults_changed(self, names: set[str]) -> None:
+        """Takes over changed versions and shards, and starts to record reports that lag."""
+        versions = self.faults.value("versions")
+        shards = self.faults.value("shards")
+        if "report_lag_seconds" in names:
+            self._history.clear()
+            self._sample()
+        self._versions = self.definition.versions if versions is None else versions
+        self._shards = frozenset(self.definition.shards if shards is None else shards)
+
+    def counters(self, query: dict[str, str]) -> dict[str, Any]:
+        """Returns counts; `?totals=true` leaves out those by call id and by query."""
+        return {
+            "leaf_id": self.definition.leaf_id,
+            "received": self._received,
+            "last_received_at": self._last_received_at,
+            "in_flight": self._in_flight,
+            "in_flight_peak": self._in_flight_peak,
+            "queued": self._slots.queued,
+            "answers_by_status": {str(key): n for key, n in self._answers_by_status.items()},
+            **self._record.counters(totals_only=query.get("totals") == "true"),
+        }
+
+    async def administer(
+        self, method: str, path: str, query: dict[str, str], body: Any
+    ) -> tuple[int, Any] | None:
+        """Answers /admin/executions and /admin/restart."""
+        match method, path:
+            case "GET", "/admin/executions":
+                return 200, [execution._asdict() for execution in self._record.executions]
+            case "POST", "/admin/restart":
+                for connection in list(self.connections):
+                    connection.reset()
+                self.restart()
+                return 200, {}
+        return None
+
+    async def run(self) -> None:
+        """Records the state while reports lag."""
+        while True:
+            await anyio.sleep(_SAMPLE_SECONDS)
+            if self.faults.value("report_lag_seconds"):
+                self._sample()
+
+    def _state(self) -> str:
+        if self.faults and self.faults.value("draining"):
+            return "draining"
+        return "ready" if self._clock.now() >= self._ready_at else "starting"
+
+    def _report(self) -> Report:
+        return Report(
+            self._clock.now(), self._state(), self._in_flight, self._slots.queued, self._versions
+        )
+
+    def _sample(self) -> None:
+        self._history.add(self._report(), self.faults.value("report_lag_seconds"))
+
+    def _shown_report(self) -> Report:
+        report = self._report()
+        if not self.faults:
+            return report
+        value = self.faults.value
+        if lag := value("report_lag_seconds"):
+            report = self._history.shown(report.at, lag) or report
+        if value("silently_slow_factor") != 1 or value("stuck_reports_idle"):
+            report = report._replace(in_flight=0, queued=0)
+        if value("load_says") is not None:
+            report = report._replace(**value("load_says"))
+        if value("health_says") is not None:
+            report = report._replace(state=value("health_says"))
+        return report
+
+    def _report_headers(self) -> list[Header]:
+        report = self._shown_report()
+        return [
+            (b"x-leaf-state", report.state.encode()),
+            (b"x-load", b"%d,%d" % (report.in_flight, report.queued)),
+        ]
+
+    async def handle(
+        self, connection: Connection, scope: dict[str, Any], receive: Receive, send: Send
+    ) -> None:
+        """Answers one request of the backend server protocol."""
+        first, connection.answered = not connection.answered, True
+        method, path = scope["method"], scope["path"]
+        if method == "POST" and path == "/v1/search":
+            await self._search(connection, first, scope, receive, send)
+            return
+        if first:
+            await anyio.sleep(self.definition.connect_cost_ms / 1000)
+        if method == "DELETE" and path.startswith(_CALLS_PATH):
+            await self._cancel(path.removeprefix(_CALLS_PATH), send)
+        elif method == "GET":
+            await self._status(path, receive, send)
+        else:
+            await send_json(send, 404, {"error": f"{method} {path} does not exist"})
+
+    async def _status(self, path: str, receive: Receive, send: Send) -> None:
+        report = self._shown_report()
+        body: dict[str, Any] | None = None
+        match path:
+            case "/v1/health":
+                body = {"state": report.state}
+            case "/v1/load":
+                body = {"in_flight": report.in_flight, "queued": report.queued}
+                body["slots"] = self.definition.slots
+            case "/v1/versions":
+                body = {"versions": list(report.versions)}
+        if body is None:
+            await send_json(send, 404, {"error": f"GET {path} does not exist"})
+            return
+        match self.faults.value("health_answers"):
+            case "500":
+                await send_json(send, 500, {"error": "internal error"})
+            case "never":
+                while (await receive())["type"] != "http.disconnect":
+                    pass
+            case _:
+                await send_json(send, 200, body)
+
+    async def _cancel(self, call_id: str, send: Send) -> None:
+        call = self._calls_by_id.get(call_id)
+        if call is None:
+            await send_json(send, 404, {"error": f"call {call_id!r} is not in progress"})
+            return
+        started = call.execution is not None
+        call.cancel()
+        await send_json(send, 200, {"call_id": call_id, "started": started})
+
+    async def _search(
+        self,
+        connection: Connection,
+        first: bool,
+        scope: dict[str, Any],
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        body = await read_body(receive)
+        self._received += 1
+        self._last_received_at = self._clock.now()
+        try:
+            call = _Call(dict(scope["headers"]), body)
+        except (KeyError, ValueError, msgspec.DecodeError) as error:
+            await self._refuse(send, 400, f"the call can't be read: {error!r}", _NOT_STARTED)
+            return
+        remaining = call.remaining_seconds
+        deadline = float("inf") if remaining is None else anyio.current_time() + remaining
+        connection.on_lost = call.cancel
+        self._calls_by_id[call.call_id] = call
+        parts = None
+        try:
+            with anyio.CancelScope(deadline=deadline) as call.scope:
+                if first and self.definition.connect_cost_ms:
+                    await anyio.sleep(self.definition.connect_cost_ms / 1000)
+                if await self._refused_or_stuck(call, send):
+                    return
+                parts = await self._execute(call)
+        finally:
+            connection.on_lost = None
+            if self._calls_by_id.get(call.call_id) is call:
+                del self._calls_by_id[call.call_id]
+        if parts is not None:
+            await self._answer(connection, parts, send)
+            return
+        headers = () if call.execution is not None else (_NOT_STARTED,)
+        if call.cancelled:
+            await self._refuse(send, _CANCELLED, "cancelled", *headers)
+        else:
+            await self._refuse(send, 504, "deadline passed", *headers)
+
+    async def _refused_or_stuck(self, call: _Call, send: Send) -> bool:
+        fires = self.faults.fires
+        if self.faults:
+            if fires("fails_fast"):
+                await self._refuse(send, 500, "internal error")
+                return True
+            if fires("stuck"):
+                await self._hang(call)
+                return True
+            if fires("sheds_unmarked"):
+                await self._refuse(send, 503, "shedding")
+                return True
+        state = self._state()
+        if state == "draining" and self.faults.value("draining") == "announce":
+            state = "ready"
+        if state != "ready":
+            await self._refuse(send, 503, state, _NOT_STARTED)
+        elif self._slots.full or fires("sheds"):
+            await self._refuse(send, 503, "shedding", _NOT_STARTED)
+        elif call.version not in self._versions:
+            message = f"version {call.version} is not served"
+            await self._refuse(send, 409, message, _NOT_STARTED)
+        elif call.shard not in self._shards:
+            await self._refuse(send, 409, f"shard {call.shard!r} is not served", _NOT_STARTED)
+        else:
+            return False
+        return True
+
+    async def _hang(self, call: _Call) -> None:
+        self._change_in_flight(1)
+        try:
+            assert call.scope is not None
+            call.scope.deadline = float("inf")
+            await anyio.sleep_forever()
+        finally:
+            self._change_in_flight(-1)
+
+    def _change_in_flight(self, change: int) -> None:
+        self._in_flight += change
+        self._in_flight_peak = max(self._in_flight_peak, self._in_flight)
+
+    async def _execute(self, call: _Call) -> AnswerParts:
+        if not self._slots.try_acquire():
+            await self._slots.acquire()
+        self._change_in_flight(1)
+        query = call.query
+        execution = Execution(
+            call.call_id,
+            call.shard,
+            call.version,
+            call.rank,
+            query.get("write"),
+            query.get("tag"),
+            self._clock.now(),
+        )
+        call.execution = execution
+        self._record.start(execution)
+        finished = False
+        try:
+            seconds = self._service_seconds(query)
+            if seconds > 0:
+                await anyio.sleep(seconds)
+            finished = True
+        finally:
+            self._change_in_flight(-1)
+            self._slots.release()
+            if finished:
+                self._record.finish(execution)
+            else:
+                self._record.cancel(execution)
+        rows = query.get("rows", self.definition.rows)
+        return AnswerParts(call.call_id, call.shard, call.version, rows)
+
+    def _service_seconds(self, query: dict[str, Any]) -> float:
+        seconds: float = query.get("service_ms", self.definition.service_ms) / 1000
+        if self.definition.cold_seconds and self._clock.now() < self._warm_at:
+            seconds *= self.definition.cold_factor
+        if not self.faults:
+            return seconds
+        value = self.faults.value
+        seconds *= value("slow_factor") * value("silently_slow_factor")
+        share = value("straggler_share")
+        if share and self.generator.random() < share:
+            seconds *= value("straggler_factor")
+        return seconds
+
+    async def _refuse(self, send: Send, status: int, reason: str, *headers: Header) -> None:
+        self._count_status(status)
+        await send_json(send, status, {"error": reason}, [*self._report_headers(), *headers])
+
+    def _count_status(self, status: int) -> None:
+        self._answers_by_status[status] = self._answers_by_status.get(status, 0) + 1
+
+    async def _answer(self, connection: Connection, parts: AnswerParts, send: Send) -> None:
+        headers = self._report_headers()
+        body = self._answers.body(parts)
+        if self.faults:
+            if self.faults.fires("reset_after_executing"):
+                connection.reset()
+                return
+            if self.faults.fires("truncated_body"):
+                await self._send_truncated(connection, body, headers, send)
+                return
+            body = self._body_with_faults(parts, body)
+        self._last_answer = parts
+        self._count_status(200)
+        await send_bytes(send, 200, body, headers)
+
+    def _body_with_faults(self, parts: AnswerParts, body: bytes) -> bytes:
+        for fault in CORRUPTION_FAULTS:
+            if self.faults.fires(fault.name):
+                return corrupted(fault.name, parts)
+        if self._last_answer is not None and self.faults.fires("crossed_answer"):
+            return self._answers.body(self._last_answer)
+        if self.faults.fires("oversized_body"):
+            return body.ljust(self.faults.value("oversized_body_bytes"))
+        return body
+
+    async def _send_truncated(
+        self, connection: Connection, body: bytes, headers: list[Header], send: Send
+    ) -> None:
+        length = (b"content-length", b"%d" % len(body))
+        await send({"type": "http.response.start", "status": 200, "headers": [length, *headers]})
+        half = body[: len(body) // 2]
+        await send({"type": "http.response.body", "body": half, "more_body": True})
+        connection.close()
