--- /dev/null
+++ b/filbertreach/dispatch/_hedging.py
@@ -0,0 +1,188 @@
+"""When a call is sent to a second leaf, and how often."""
+
+import bisect
+import math
+from collections import deque
+
+from filbertreach.dispatch._latency import LatencyTracker
+
+_FIRST_TOKENS = 2.0
+"""Extra calls allowed before first calls have earned any, for a leaf that is down at the start."""
+_MOST_TOKENS = 10.0
+"""Unused budget that is kept for a burst of stragglers."""
+_SLOW_SHARE = 0.3
+"""Part of the budget while the whole service is slow: 1.5% of 5%, below the bound of 2%."""
+_SLOW_TOKENS = 1.0
+"""Saved budget that is kept when the whole service turns slow."""
+_SLOW_RATIO = 1.7
+"""The service is slow when its recent median is above this many long-term medians."""
+_SLOW_QUANTILE = 0.99
+"""While the service is slow, only calls beyond this quantile are hedged."""
+_MEDIAN_FACTOR = 1.5
+"""A hedge before this many medians rarely ends before the first call does."""
+_LEAST_DELAY_SECONDS = 0.001
+_SLICE_SECONDS = 2.0
+_SLICE_SAMPLES = 20
+_LONG_TERM_SLICES = 450
+"""15 minutes of medians."""
+_SLOW_SLICE_WEIGHT = 10
+"""While the service is slow, only every tenth slice enters the long-term median, so that a slow
+hour is not taken for normal soon."""
+_OVERDUE_SMOOTHING = 1.0 / 64.0
+_OVERDUE_FACTOR = 3.0
+"""More calls than this multiple of the expected share past their delay mean that the delay is out
+of date."""
+
+
+class HedgeBudget:
+    """Token bucket for extra calls (hedges and retries together) as a share of first calls.
+
+    Extra calls never exceed `share * first calls + 2`. The budget as a share of first calls, rather
+    than a rate, follows J. Dean, L. A. Barroso, "The Tail at Scale", CACM 56(2), 2013.
+    """
+
+    def __init__(self, *, share: float) -> None:
+        """Creates a budget with a few tokens for the start.
+
+        Args:
+            share: Extra calls for each first call, 0 or more. 0 allows none, not even at the start.
+        """
+        self._share = share
+        self._tokens = _FIRST_TOKENS if share > 0 else 0.0
+
+    def first_call(self, *, slow: bool = False) -> None:
+        """Records that a call is sent for the first time.
+
+        Args:
+            slow: Whether the whole service is slow (`HedgeDelay.is_slow`); extra calls would then
+                add load where there is no faster leaf.
+        """
+        if slow:
+            self._tokens = min(self._tokens + self._share * _SLOW_SHARE, _SLOW_TOKENS)
+        else:
+            self._tokens = min(self._tokens + self._share, _MOST_TOKENS)
+
+    def try_take(self) -> bool:
+        """Takes the token for one extra call.
+
+        Returns:
+            Whether the extra call may be sent.
+        """
+        # The tolerance is for sums such as twenty times 0.05.
+        if self._tokens < 1.0 - 1e-9:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+class HedgeDelay:
+    """How long a call is out before a hedge is sent.
+
+    The delay is a quantile of the recent latency (J. Dean, L. A. Barroso, "The Tail at Scale",
+    CACM 56(2), 2013). A slow service is told from slow leaves by its median: if that is far above
+    its long-term value, the delay becomes the 99th percentile. Until completions show a slowdown,
+    the share of calls that outlast the delay does, and hedges stop.
+    """
+
+    def __init__(self, *, quantile: float) -> None:
+        """Creates a delay without samples.
+
+        Args:
+            quantile: Quantile of latency after which a hedge is sent (Policy.hedge_quantile).
+        """
+        self._quantile = quantile
+        self._recent = LatencyTracker(window_seconds=2.0, slices=4)
+        self._slice: list[float] = []
+        self._slice_started_at = math.inf
+        self._slow_slices = 0
+        self._medians: deque[float] = deque()
+        self._sorted_medians: list[float] = []
+        self._overdue_share = 0.0
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether the whole service is slow against its long-term median."""
+        median = self._recent.quantile(0.5)
+        if median is None or not self._sorted_medians:
+            return False
+        return median > _SLOW_RATIO * self._long_term_median()
+
+    def first_call(self) -> None:
+        """Records that a call is sent for the first time."""
+        self._overdue_share *= 1.0 - _OVERDUE_SMOOTHING
+
+    def record(self, seconds: float, now: float) -> None:
+        """Records the time from the first send of a call to its answer.
+
+        Args:
+            seconds: Latency.
+            now: Seconds of the dispatch clock.
+        """
+        self._recent.record(seconds, now)
+        self._slice_started_at = min(self._slice_started_at, now)
+        self._slice.append(seconds)
+        if len(self._slice) >= _SLICE_SAMPLES and now - self._slice_started_at >= _SLICE_SECONDS:
+            self._end_slice()
+
+    def seconds(self, attempt: int = 1) -> float | None:
+        """Returns how long to wait for an attempt before the next one is sent.
+
+        Args:
+            attempt: 1 for the first call, 2 for its hedge.
+
+        Returns:
+            Seconds since that attempt was sent; None while too little is known.
+        """
+        median = self._recent.quantile(0.5)
+        if median is None:
+            return None
+        quantile = max(self._quantile, _SLOW_QUANTILE) if self.is_slow else self._quantile
+        if attempt > 1 and not self.is_slow:
+            # Few calls get here, so an early third call adds little load.
+            return max(median, _LEAST_DELAY_SECONDS)
+        tail = self._recent.quantile(quantile) or median
+        return max(tail, _MEDIAN_FACTOR * median, _LEAST_DELAY_SECONDS)
+
+    def overdue(self) -> bool:
+        """Records that a first call outlasted its delay.
+
+        Returns:
+            Whether a hedge makes sense: False if so many calls are overdue that the whole service
+            must be slow.
+        """
+        self._overdue_share += _OVERDUE_SMOOTHING
+        expected = max(1.0 - self._quantile, _OVERDUE_SMOOTHING)
+        return self._overdue_share <= _OVERDUE_FACTOR * expected
+
+    def _end_slice(self) -> None:
+        median = sorted(self._slice)[len(self._slice) // 2]
+        self._slice.clear()
+        self._slice_started_at = math.inf
+        if self.is_slow:
+            self._slow_slices += 1
+            if self._slow_slices % _SLOW_SLICE_WEIGHT:
+                return
+        self._medians.append(median)
+        bisect.insort(self._sorted_medians, median)
+        if len(self._medians) > _LONG_TERM_SLICES:
+            oldest = self._medians.popleft()
+            del self._sorted_medians[bisect.bisect_left(self._sorted_medians, oldest)]
+
+    def _long_term_median(self) -> float:
+        """The lower quartile of the medians, which a slow quarter of the time does not move."""
+        return self._sorted_medians[len(self._sorted_medians) // 4]
+
+
+def may_hedge(
+    *, idempotent: bool, attempts: int, max_attempts: int, remaining_seconds: float, least: float
+) -> bool:
+    """Returns whether a call may be sent to one more leaf; `HedgeBudget.try_take` comes after.
+
+    Args:
+        idempotent: Whether the call may run twice. Any other call never gets a hedge.
+        attempts: Times that the call was sent.
+        max_attempts: Policy.max_attempts.
+        remaining_seconds: Time to the deadline.
+        least: Time that a leaf needs to answer, in seconds.
+    """
+    return idempotent and attempts < max_attempts and remaining_seconds > least
