Add the decision modules of the entry process

Change: one module each under filbertreach/entry, without I/O; time is passed in. on_finished takes the Admit that decide returned instead of rank and client, because the windows are kept for each set of services, which Admit carries.

--- /dev/null
+++ b/filbertreach/entry/_admission_baselines.py
@@ -0,0 +1,67 @@
+"""Admission policies that the policy in use is compared with."""
+
+from filbertreach.entry._admission_policy import (
+    AdmissionSettings,
+    Admit,
+    Outcome,
+    QueryFacts,
+    Refuse,
+    admission_policy,
+)
+from filbertreach.schema import ServiceLoad
+
+
+@admission_policy("none")
+class AdmitAll:
+    """Baseline: admits every query."""
+
+    def __init__(self, settings: AdmissionSettings) -> None:
+        """Creates the policy.
+
+        Args:
+            settings: Not used.
+        """
+
+    def decide(self, query: QueryFacts, now: float) -> Admit | Refuse:
+        """Admits the query."""
+        return Admit(query)
+
+    def on_load(self, load: ServiceLoad, now: float) -> None:
+        """Ignores the report."""
+
+    def on_finished(
+        self, admitted: Admit, latency_seconds: float, outcome: Outcome, now: float
+    ) -> None:
+        """Ignores the end of a query."""
+
+
+@admission_policy("static_limit")
+class StaticLimit:
+    """Baseline: admits up to a fixed number of queries in progress, of any rank and client."""
+
+    _RETRY_AFTER_SECONDS = 1.0
+
+    def __init__(self, settings: AdmissionSettings) -> None:
+        """Creates the policy.
+
+        Args:
+            settings: Its limit is the number of queries.
+        """
+        self._max_queries = settings.max_queries
+        self._in_flight = 0
+
+    def decide(self, query: QueryFacts, now: float) -> Admit | Refuse:
+        """Admits the query if there is room."""
+        if self._in_flight >= self._max_queries:
+            return Refuse("too_many_queries", self._RETRY_AFTER_SECONDS)
+        self._in_flight += 1
+        return Admit(query)
+
+    def on_load(self, load: ServiceLoad, now: float) -> None:
+        """Ignores the report."""
+
+    def on_finished(
+        self, admitted: Admit, latency_seconds: float, outcome: Outcome, now: float
+    ) -> None:
+        """Makes room."""
+        self._in_flight -= 1
--- /dev/null
+++ b/filbertreach/entry/_merging.py
@@ -0,0 +1,222 @@
+"""Merges the rows of many shards into one answer.
+
+The result depends only on what was added, never on the order of arrival.
+"""
+
+import math
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple, Protocol, TypeVar
+
+Row = dict[str, Any]
+
+_MISSING_CLASS = 0
+_NUMBER_CLASS = 1
+_TEXT_CLASS = 2
+
+_SortKey = tuple[int, Any]
+
+
+class MergeError(Exception):
+    """Rows that must not become part of the answer, or a merge that cannot be made."""
+
+
+class Merger(Protocol):
+    """Collects the rows of one query."""
+
+    def add(self, shard: str, version: int, rows: Sequence[Row]) -> None:
+        """Adds the rows of one shard.
+
+        Args:
+            shard: Shard name.
+            version: Index version that the rows were read from.
+            rows: Rows in the order of the shard.
+
+        Raises:
+            MergeError: The shard was added before, or the version differs from the first one. The
+                collected rows are unchanged.
+        """
+
+    def result(self) -> list[Row]:
+        """Returns the merged rows of the shards added so far."""
+
+
+class MergeSettings(NamedTuple):
+    """What a query asks of its merge."""
+
+    order_by: str
+    """Column that the rows are ordered by; empty for a merge without an order."""
+    descending: bool
+    """Whether the greatest value comes first."""
+    limit: int
+    """Most rows in the result, at least 1."""
+
+
+_MergerT = TypeVar("_MergerT", bound=type)
+_MERGER_BY_KIND: dict[str, Callable[[MergeSettings], Merger]] = {}
+
+
+def merger(kind: str) -> Callable[[_MergerT], _MergerT]:
+    """Registers a class, called with MergeSettings, as the merger of a kind.
+
+    Args:
+        kind: Value of `merge.kind` in a query.
+
+    Returns:
+        A class decorator.
+    """
+
+    def register(merger_class: _MergerT) -> _MergerT:
+        _MERGER_BY_KIND[kind] = merger_class
+        return merger_class
+
+    return register
+
+
+def make_merger(
+    *, kind: str, order_by: str | None, descending: bool, limit: int, max_rows: int
+) -> Merger:
+    """Makes the merger of one query.
+
+    Args:
+        kind: A registered kind: top or concatenate.
+        order_by: Column that top orders by; concatenate takes none.
+        descending: Whether top puts the greatest value first.
+        limit: Most rows in the result.
+        max_rows: Most rows that one query may hold in memory.
+
+    Returns:
+        A merger without rows.
+
+    Raises:
+        MergeError: An argument is not allowed; the message says what is.
+    """
+    if kind not in _MERGER_BY_KIND:
+        kinds = ", ".join(sorted(_MERGER_BY_KIND))
+        raise MergeError(f"no merge kind {kind!r}; there is: {kinds}")
+    if not 1 <= limit <= max_rows:
+        raise MergeError(f"merge limit is {limit}; allowed: 1 to {max_rows}")
+    if kind == "top" and not order_by:
+        raise MergeError("merge kind 'top' needs order_by, the name of a column")
+    return _MERGER_BY_KIND[kind](MergeSettings(order_by or "", descending, limit))
+
+
+class _ShardCheck:
+    """Refuses a shard that was added before and rows of another version."""
+
+    def __init__(self) -> None:
+        self._shards: set[str] = set()
+        self._version: int | None = None
+
+    def check(self, shard: str, version: int) -> None:
+        if shard in self._shards:
+            raise MergeError(f"shard {shard} was already merged")
+        if self._version is not None and version != self._version:
+            raise MergeError(
+                f"shard {shard} answered from version {version}; the query reads {self._version}"
+            )
+        self._shards.add(shard)
+        self._version = version
+
+
+class _Candidate(NamedTuple):
+    """A row that may be among the first."""
+
+    key: _SortKey
+    """Sort key of the row."""
+    shard: str
+    """Shard that the row is from."""
+    position: int
+    """Position in the shard's rows."""
+    row: Row
+    """The row."""
+
+
+@merger("top")
+class TopMerger:
+    """Keeps the first `limit` rows in the order of one column.
+
+    Numbers come before texts (after them if descending). A row is last, in both directions, if its
+    value is missing, null, NaN or neither a number nor a text. Ties are broken by shard name and
+    then by position. At most `2 * limit` rows are held between two calls.
+    """
+
+    def __init__(self, settings: MergeSettings) -> None:
+        """Creates a merger without rows.
+
+        Args:
+            settings: Order and limit.
+        """
+        self._settings = settings
+        self._check = _ShardCheck()
+        self._candidates: list[_Candidate] = []
+
+    def add(self, shard: str, version: int, rows: Sequence[Row]) -> None:
+        """Adds the rows of one shard; see Merger."""
+        self._check.check(shard, version)
+        candidates = [
+            _Candidate(self._key(row), shard, position, row) for position, row in enumerate(rows)
+        ]
+        self._candidates += self._first(candidates)
+        if len(self._candidates) > 2 * self._settings.limit:
+            self._candidates = self._first(self._candidates)
+
+    def result(self) -> list[Row]:
+        """Returns the first rows of the shards added so far."""
+        return [candidate.row for candidate in self._first(self._candidates)]
+
+    def _key(self, row: Row) -> _SortKey:
+        value = row.get(self._settings.order_by)
+        if isinstance(value, str):
+            return (_TEXT_CLASS, value)
+        if isinstance(value, int) or (isinstance(value, float) and not math.isnan(value)):
+            return (_NUMBER_CLASS, value)
+        # Greater than every class if ascending and less than every class if descending: last.
+        return (_MISSING_CLASS if self._settings.descending else _TEXT_CLASS + 1, 0)
+
+    def _first(self, candidates: list[_Candidate]) -> list[_Candidate]:
+        # Two stable sorts: a reversed sort alone would reverse the order of ties too.
+        ordered = sorted(candidates, key=lambda candidate: candidate[1:3])
+        ordered.sort(key=lambda candidate: candidate.key, reverse=self._settings.descending)
+        return ordered[: self._settings.limit]
+
+
+@merger("concatenate")
+class ConcatenateMerger:
+    """Keeps the first `limit` rows in the order of shard names.
+
+    Rows that other shards already push past the limit are dropped at once, so that at most `limit`
+    rows are held between two calls.
+    """
+
+    def __init__(self, settings: MergeSettings) -> None:
+        """Creates a merger without rows.
+
+        Args:
+            settings: Limit; the order is not used.
+        """
+        self._limit = settings.limit
+        self._check = _ShardCheck()
+        self._rows_by_shard: dict[str, list[Row]] = {}
+        self._held = 0
+
+    def add(self, shard: str, version: int, rows: Sequence[Row]) -> None:
+        """Adds the rows of one shard; see Merger."""
+        self._check.check(shard, version)
+        if not rows:
+            return
+        self._rows_by_shard[shard] = list(rows[: self._limit])
+        self._held += len(self._rows_by_shard[shard])
+        while self._held > self._limit:
+            self._drop_excess(max(self._rows_by_shard))
+
+    def result(self) -> list[Row]:
+        """Returns the rows of the shards added so far, in the order of shard names."""
+        return [row for shard in sorted(self._rows_by_shard) for row in self._rows_by_shard[shard]]
+
+    def _drop_excess(self, last_shard: str) -> None:
+        rows = self._rows_by_shard[last_shard]
+        dropped = min(len(rows), self._held - self._limit)
+        del rows[len(rows) - dropped :]
+        if not rows:
+            del self._rows_by_shard[last_shard]
+        self._held -= dropped
