Add observability, one-shot timers and leaf connections of the dispatch process

Cause: the daemons need logs, metrics, spans, a graceful stop and one task for each leaf connection. Conclusion: base for the whole path.

--- /dev/null
+++ b/filbertreach/dispatch/_exchange.py
@@ -0,0 +1,223 @@
+"""One call to a leaf over one HTTP connection, as in docs/platform-contract.md."""
+
+from typing import Any, NamedTuple, TypedDict
+
+import httpcore
+import msgspec
+
+from filbertreach.dispatch._errors import (
+    InvalidResponseError,
+    LeafCancelledError,
+    LeafError,
+    LeafFailedError,
+    LeafRefusedError,
+    LeafReport,
+    LeafTimeoutError,
+    LeafUnreachableError,
+    VersionUnavailableError,
+)
+from filbertreach.document import Leaf
+from filbertreach.schema import Call
+
+_MAX_BODY_BYTES = 8 * 1024 * 1024
+_STATUS_OK = 200
+_ERROR_BY_STATUS: dict[int, type[LeafError]] = {
+    409: VersionUnavailableError,
+    499: LeafCancelledError,
+    503: LeafRefusedError,
+    504: LeafTimeoutError,
+}
+
+
+class SearchBody(TypedDict):
+    """Body of a leaf's answer."""
+
+    call_id: str
+    """Echo of the call id."""
+    shard: str
+    """Shard whose rows these are."""
+    version: int
+    """Index version that was read."""
+    rows: list[dict[str, Any]]
+    """Rows."""
+    row_count: int
+    """Number of rows, to detect a truncated answer."""
+
+
+class LeafResponse(NamedTuple):
+    """A response with its body read whole."""
+
+    status: int
+    """HTTP status."""
+    not_started: bool
+    """Whether the leaf proves that the call did not start."""
+    report: LeafReport
+    """Headers about the leaf's state."""
+    body: bytes
+    """Body."""
+
+
+_BODY_DECODER = msgspec.json.Decoder(SearchBody)
+_BODY_ENCODER = msgspec.json.Encoder()
+
+
+def new_connection(leaf: Leaf) -> httpcore.AsyncHTTPConnection:
+    """Returns a connection object for a leaf; it connects with the first request.
+
+    Args:
+        leaf: The leaf.
+    """
+    host, port = leaf.address.rsplit(":", 1)
+    origin = httpcore.Origin(scheme=b"http", host=host.encode(), port=int(port))
+    return httpcore.AsyncHTTPConnection(origin=origin, keepalive_expiry=None)
+
+
+async def request(
+    *,
+    connection: httpcore.AsyncHTTPConnection,
+    leaf: Leaf,
+    method: str,
+    path: str,
+    headers: list[tuple[bytes, bytes]],
+    content: bytes = b"",
+) -> LeafResponse:
+    """Sends one request and reads the whole response.
+
+    Args:
+        connection: Connection to the leaf, idle.
+        leaf: The leaf.
+        method: HTTP method.
+        path: Path with a leading slash.
+        headers: Headers besides host and content-length.
+        content: Body.
+
+    Returns:
+        The response.
+
+    Raises:
+        LeafUnreachableError: No connection could be opened; nothing was sent.
+        LeafFailedError: The connection was lost after it was open.
+        InvalidResponseError: The response is not HTTP or too large.
+    """
+    host, port = leaf.address.rsplit(":", 1)
+    outgoing = httpcore.Request(
+        method=method,
+        url=httpcore.URL(scheme=b"http", host=host.encode(), port=int(port), target=path.encode()),
+        headers=[
+            (b"host", leaf.address.encode()),
+            (b"content-length", str(len(content)).encode()),
+            *headers,
+        ],
+        content=content,
+    )
+    try:
+        response = await connection.handle_async_request(outgoing)
+        try:
+            body = await _read_body(response)
+        finally:
+            await response.aclose()
+    except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+        raise LeafUnreachableError(message=f"{leaf.id} can't be connected to: {error}") from error
+    except (httpcore.RemoteProtocolError, httpcore.LocalProtocolError) as error:
+        raise InvalidResponseError(message=f"{leaf.id}: {error}", started=True) from error
+    except (httpcore.NetworkError, httpcore.TimeoutException, OSError) as error:
+        raise LeafFailedError(message=f"{leaf.id}: {error!r}", started=True) from error
+    header_by_name = {name.lower(): value for name, value in response.headers}
+    return LeafResponse(
+        status=response.status,
+        not_started=header_by_name.get(b"x-not-started") == b"true",
+        report=_report(header_by_name),
+        body=body,
+    )
+
+
+async def search(
+    *,
+    connection: httpcore.AsyncHTTPConnection,
+    leaf: Leaf,
+    call: Call,
+    call_id: str,
+    remaining_seconds: float,
+    trace_parent: str,
+) -> tuple[SearchBody, LeafReport]:
+    """Sends a call and checks that the response is the whole answer to it.
+
+    Args:
+        connection: Connection to the leaf, idle.
+        leaf: The leaf.
+        call: The call.
+        call_id: Id of this attempt at the leaf.
+        remaining_seconds: Time until the deadline.
+        trace_parent: W3C traceparent of this hop, or an empty string.
+
+    Returns:
+        The checked body and what the leaf reports of itself.
+
+    Raises:
+        LeafError: There is no usable answer; the class says why.
+    """
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"x-call-id", call_id.encode()),
+        (b"x-deadline-ms", str(max(1, int(remaining_seconds * 1000))).encode()),
+        (b"x-index-version", str(call["version"]).encode()),
+        (b"x-shard", call["shard"].encode()),
+        (b"x-rank", call["rank"].encode()),
+    ]
+    if trace_parent:
+        headers.append((b"traceparent", trace_parent.encode()))
+    response = await request(
+        connection=connection,
+        leaf=leaf,
+        method="POST",
+        path="/v1/search",
+        headers=headers,
+        content=_BODY_ENCODER.encode(call["body"]),
+    )
+    if response.status != _STATUS_OK:
+        error = _status_error(leaf, response)
+        error.report = response.report
+        raise error
+    return _checked_body(leaf, call, call_id, response.body), response.report
+
+
+async def _read_body(response: httpcore.Response) -> bytes:
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in response.aiter_stream():
+        size += len(chunk)
+        if size > _MAX_BODY_BYTES:
+            raise httpcore.RemoteProtocolError(f"the body is over {_MAX_BODY_BYTES} bytes")
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
+def _report(header_by_name: dict[bytes, bytes]) -> LeafReport:
+    state = header_by_name.get(b"x-leaf-state", b"").decode("latin-1")
+    in_flight, _, queued = header_by_name.get(b"x-load", b"").partition(b",")
+    if in_flight.strip().isdigit() and queued.strip().isdigit():
+        return LeafReport(state, int(in_flight), int(queued))
+    return LeafReport(state, None, None)
+
+
+def _status_error(leaf: Leaf, response: LeafResponse) -> LeafError:
+    error_class = _ERROR_BY_STATUS.get(response.status, LeafFailedError)
+    return error_class(
+        message=f"{leaf.id} answered {response.status}", started=not response.not_started
+    )
+
+
+def _checked_body(leaf: Leaf, call: Call, call_id: str, body: bytes) -> SearchBody:
+    try:
+        answer = _BODY_DECODER.decode(body)
+    except msgspec.DecodeError as error:
+        raise InvalidResponseError(message=f"{leaf.id}: {error}", started=True) from error
+    expected = {"call_id": call_id, "shard": call["shard"], "version": call["version"]}
+    for name, value in expected.items():
+        if answer[name] != value:  # type: ignore[literal-required]
+            text = f"{leaf.id} answered with {name} {answer[name]!r}, not {value!r}"  # type: ignore[literal-required]
+            raise InvalidResponseError(message=text, started=True)
+    if answer["row_count"] != len(answer["rows"]):
+        text = f"{leaf.id} sent {len(answer['rows'])} of {answer['row_count']} rows"
+        raise InvalidResponseError(message=text, started=True)
+    return answer
--- /dev/null
+++ b/filbertreach/observability/_logs.py
@@ -0,0 +1,65 @@
+"""Logs as JSON lines on standard error."""
+
+import logging
+import sys
+from typing import Any
+
+import structlog
+
+
+def configure_logs(*, level: str, process: str) -> None:
+    """Sends structlog and standard library logs to standard error, one JSON object a line.
+
+    Args:
+        level: debug, info, warning or error.
+        process: Process name, added to each line.
+    """
+    shared: list[Any] = [
+        structlog.contextvars.merge_contextvars,
+        structlog.stdlib.add_log_level,
+        structlog.stdlib.add_logger_name,
+        structlog.processors.TimeStamper(fmt="iso", utc=True),
+        _AddProcess(process),
+    ]
+    structlog.configure(
+        processors=[*shared, structlog.stdlib.ProcessorFormatter.wrap_for_formatter],
+        logger_factory=structlog.stdlib.LoggerFactory(),
+        wrapper_class=structlog.stdlib.BoundLogger,
+        cache_logger_on_first_use=True,
+    )
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        structlog.stdlib.ProcessorFormatter(
+            foreign_pre_chain=shared,
+            processors=[
+                structlog.stdlib.ProcessorFormatter.remove_processors_meta,
+                structlog.processors.format_exc_info,
+                structlog.processors.JSONRenderer(default=str),
+            ],
+        )
+    )
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(level.upper())
+    # These libraries log each connection at info and debug level.
+    for name in ("httpcore", "uvicorn", "uvicorn.error", "pynng"):
+        logging.getLogger(name).setLevel(logging.WARNING)
+
+
+def get_logger(name: str) -> structlog.stdlib.BoundLogger:
+    """Returns a logger that takes an event and key-value pairs.
+
+    Args:
+        name: Module name.
+    """
+    logger: structlog.stdlib.BoundLogger = structlog.get_logger(name)
+    return logger
+
+
+class _AddProcess:
+    def __init__(self, process: str) -> None:
+        self._process = process
+
+    def __call__(self, _logger: Any, _method: str, event: dict[str, Any]) -> dict[str, Any]:
+        event["process"] = self._process
+        return event
--- /dev/null
+++ b/filbertreach/observability/_metrics.py
@@ -0,0 +1,23 @@
+"""Shared settings of metrics."""
+
+LATENCY_BUCKETS = (
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.03,
+    0.05,
+    0.075,
+    0.09,
+    0.12,
+    0.2,
+    0.35,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+    30.0,
+)
+"""Bucket bounds of latency histograms, in seconds; 0.09 is the target of docs/design.md."""
--- a/filbertreach/timing/_service.py
+++ b/filbertreach/timing/_service.py
@@ -1,5 +1,7 @@
 """Periodic timers, one service for a process."""
 
+import heapq
+import itertools
 import math
 from collections.abc import Awaitable, Callable
 from types import TracebackType
@@ -41,11 +43,15 @@
         """
         self.clock: Clock = clock or SystemClock()
         self._group: anyio.abc.TaskGroup | None = None
+        self._order = itertools.count()
+        self._due: list[tuple[float, int, Callable[[], None]]] = []
+        self._earlier = anyio.Event()
 
     async def __aenter__(self) -> Self:
         """Starts the task group of the subscribers."""
         self._group = anyio.create_task_group()
         await self._group.__aenter__()
+        self._group.start_soon(self._run_once_timers, name="timer once")
         return self
 
     async def __aexit__(
@@ -81,6 +87,27 @@
         subscription = Subscription(name, interval_seconds, callback)
         self._group.start_soon(self._run, subscription, name=f"timer {name}")
 
+    def at(self, due: float, callback: Callable[[], None]) -> None:
+        """Calls `callback` once; it must not block.
+
+        Args:
+            due: Time of the service's clock, in seconds.
+            callback: Called at that time or soon after it.
+        """
+        heapq.heappush(self._due, (due, next(self._order), callback))
+        if self._due[0][0] == due:
+            self._earlier.set()
+
+    async def _run_once_timers(self) -> None:
+        while True:
+            now = self.clock.now()
+            while self._due and self._due[0][0] <= now:
+                heapq.heappop(self._due)[2]()
+            self._earlier = anyio.Event()
+            wait = self._due[0][0] - self.clock.now() if self._due else math.inf
+            with anyio.move_on_after(max(0.0, wait)):
+                await self._earlier.wait()
+
     async def _run(self, subscription: Subscription) -> None:
         interval = subscription.interval_seconds
         threshold = max(interval * _PAUSE_FACTOR, interval + _LEAST_PAUSE_SECONDS)
