Add service ownership and the view client

Cause: entry and dispatch need the owner of a service, and documents and members from the agent. Change: rendezvous order of dispatch processes; a client that greets the agent, takes views and never installs an older generation; files in place of an agent.

--- /dev/null
+++ b/filbertreach/membership/_client.py
@@ -0,0 +1,229 @@
+"""A process's view of documents and members, fed by the agent of its host."""
+
+import logging
+import pathlib
+from collections.abc import Callable
+from types import TracebackType
+from typing import Literal, Self, cast, get_args
+
+import anyio
+import anyio.abc
+from returns.result import Success
+
+from filbertreach.document import Environment, parse_document
+from filbertreach.schema import DocumentCopy, Hello, Member, ProcessSection, View, ViewSection
+from filbertreach.transport import Received, Transport
+
+HELLO_SECONDS = 0.5
+"""Time between two hello messages to the agent."""
+
+Role = Literal["entry", "dispatch", "agent"]
+"""Program of a member."""
+State = Literal["starting", "live", "leaving", "gone"]
+"""State of a member."""
+
+_FILE_GENERATION = 1
+"""Generation of documents that are read from files."""
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class ViewError(Exception):
+    """The files named in the section [view] can't be used."""
+
+
+class ViewClient:
+    """Documents and members as the local agent tells them; monotone in each document.
+
+    Give `view` messages of the transport to `on_view`. While the agent is lost the last view stays
+    in force. Without an agent the files of the section [view] are loaded on entering.
+    """
+
+    def __init__(
+        self,
+        *,
+        process: ProcessSection,
+        view: ViewSection,
+        role: Literal["entry", "dispatch"],
+        transport: Transport,
+        on_change: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Prepares a view without documents and members.
+
+        Args:
+            process: Settings of this process.
+            view: Source of the view.
+            role: Program of this process.
+            transport: Transport of this process, entered before this client.
+            on_change: Called without arguments after each change of the view.
+        """
+        self.environment_by_name: dict[str, Environment] = {}
+        """Newest generation of each document."""
+        self.members: list[Member] = []
+        """Known processes of the fleet, this one included."""
+        self.leaving_addresses: frozenset[str] = frozenset()
+        """ip:port or ip of backend servers that are leaving."""
+        self.is_loaded = False
+        """Whether a view was received from the agent or loaded from files."""
+        self.on_change = on_change
+        self._agent = view.get("agent", "")
+        self._view = view
+        self._transport = transport
+        self._usable_by_name: dict[str, bool] = {}
+        self._group: anyio.abc.TaskGroup | None = None
+        self._member = Member(
+            name=process["name"],
+            host=process["host"],
+            role=role,
+            address=transport.address,
+            incarnation=transport.incarnation,
+            region=process["region"],
+            data_centre=process["data_centre"],
+            state="starting",
+        )
+
+    async def __aenter__(self) -> Self:
+        """Starts to greet the agent, or loads the files.
+
+        Raises:
+            ViewError: A file can't be read or used.
+        """
+        if not self._agent:
+            self._load_files()
+            return self
+        self._transport.keep({self._agent})
+        self._group = anyio.create_task_group()
+        await self._group.__aenter__()
+        self._group.start_soon(self._greet, name="hello")
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> bool | None:
+        """Stops greeting the agent."""
+        if self._group is None:
+            return None
+        self._group.cancel_scope.cancel()
+        return await self._group.__aexit__(kind, error, trace)
+
+    @property
+    def member(self) -> Member:
+        """This process as it introduces itself."""
+        return self._member
+
+    def set_state(self, state: State) -> None:
+        """Changes the state of this process and tells the agent at once.
+
+        Args:
+            state: New state.
+        """
+        self._member = Member(**{**self._member, "state": state})
+        if self._agent:
+            self._send_hello()
+        else:
+            self._replace_self()
+            self.on_change()
+
+    def usable(self, environment: str) -> bool:
+        """Returns whether this host may serve the environment now."""
+        return environment in self.environment_by_name and self._usable_by_name[environment]
+
+    def on_view(self, received: Received) -> None:
+        """Takes over a `view` message of the agent.
+
+        Args:
+            received: Message of kind `view`; ignored if it is not from this host's agent.
+        """
+        if received.address != self._agent:
+            _LOGGER.warning("view from %s dropped: not this host's agent", received.address)
+            return
+        view = cast(View, received.message)
+        installed = [self._install(copy) for copy in view["documents"]]
+        self.members = view["members"]
+        self.leaving_addresses = frozenset(view["leaving_addresses"])
+        self.is_loaded = True
+        if any(installed):
+            self._send_hello()
+        self.on_change()
+
+    def _install(self, copy: DocumentCopy) -> bool:
+        """Installs a document unless it is older than the one in force.
+
+        Returns:
+            Whether a new generation is in force.
+        """
+        name = copy["environment"]
+        present = self.environment_by_name.get(name)
+        if present is not None and copy["generation"] < present.generation:
+            return False
+        if present is not None and copy["generation"] == present.generation:
+            self._usable_by_name[name] = copy["usable"]
+            return False
+        if not copy["text"]:
+            # A newer generation exists, but its text is still under way.
+            return False
+        result = parse_document(text=copy["text"], source=name, generation=copy["generation"])
+        if not isinstance(result, Success):
+            _LOGGER.error("generation %d refused: %s", copy["generation"], result.failure())
+            return False
+        self.environment_by_name[name] = result.unwrap()
+        self._usable_by_name[name] = copy["usable"]
+        return True
+
+    async def _greet(self) -> None:
+        while True:
+            self._send_hello()
+            await anyio.sleep(HELLO_SECONDS)
+
+    def _send_hello(self) -> None:
+        generations = {
+            name: environment.generation for name, environment in self.environment_by_name.items()
+        }
+        message = Hello(kind="hello", member=self._member, generations=generations)
+        self._transport.send(address=self._agent, message=message)
+
+    def _load_files(self) -> None:
+        for path in self._view.get("documents", []):
+            result = parse_document(text=_read(path), source=path, generation=_FILE_GENERATION)
+            if not isinstance(result, Success):
+                raise ViewError(str(result.failure()))
+            environment = result.unwrap()
+            self.environment_by_name[environment.name] = environment
+            self._usable_by_name[environment.name] = True
+        self.members = [_parse_member(line) for line in self._view.get("members", [])]
+        self._replace_self()
+        self.is_loaded = True
+
+    def _replace_self(self) -> None:
+        others = [member for member in self.members if member["name"] != self._member["name"]]
+        self.members = [*others, self._member]
+
+
+def _read(path: str) -> str:
+    try:
+        return pathlib.Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        raise ViewError(f"[view] documents: can't read {path}: {error.strerror}") from error
+
+
+def _parse_member(line: str) -> Member:
+    words = line.split()
+    if len(words) != 5 or words[1] not in get_args(Role):
+        raise ViewError(
+            f"[view] members: {line!r}: allowed: name role address region data_centre, "
+            "where role is entry, dispatch or agent"
+        )
+    name, role, address, region, data_centre = words
+    return Member(
+        name=name,
+        host=name,
+        role=cast(Role, role),
+        address=address,
+        incarnation=0,
+        region=region,
+        data_centre=data_centre,
+        state="live",
+    )
--- /dev/null
+++ b/filbertreach/membership/_ownership.py
@@ -0,0 +1,56 @@
+"""Which dispatch process owns a service."""
+
+import functools
+import hashlib
+from collections.abc import Collection, Sequence
+
+from filbertreach.schema import Member
+
+_CACHED_SCORES = 1 << 18
+"""Scores kept: 50 services for each of 1,200 dispatch processes, four times over."""
+
+
+@functools.lru_cache(maxsize=_CACHED_SCORES)
+def _score(environment: str, service_name: str, member_name: str) -> bytes:
+    key = "\0".join((environment, service_name, member_name)).encode()
+    return hashlib.blake2b(key, digest_size=8).digest()
+
+
+def owner_of(
+    *,
+    environment: str,
+    service_name: str,
+    service_regions: Collection[str],
+    candidates: Sequence[Member],
+) -> list[Member]:
+    """Orders the dispatch processes that may serve a service; the first one owns it.
+
+    Highest random weight hashing (Thaler and Ravishankar, "Using name-based mappings to increase
+    hit rates", IEEE/ACM Transactions on Networking 6(1), 1998): a member that comes or goes moves
+    only the services that it owns. The score depends on the name and not on the incarnation, so
+    that a restart does not move services for longer than it lasts.
+
+    Args:
+        environment: Environment name.
+        service_name: Service name.
+        service_regions: Regions of the service's leaves.
+        candidates: Known members; those that are not dispatch processes, are starting or are gone
+            are passed over.
+
+    Returns:
+        Live processes before leaving ones, then those in a region of the service before others,
+        then by descending score. Empty if there is no usable candidate.
+    """
+    regions = frozenset(service_regions)
+    usable = [
+        member
+        for member in candidates
+        if member["role"] == "dispatch" and member["state"] in ("live", "leaving")
+    ]
+    # The name breaks ties, so that every process finds the same order.
+    usable.sort(
+        key=lambda member: (_score(environment, service_name, member["name"]), member["name"]),
+        reverse=True,
+    )
+    usable.sort(key=lambda member: (member["state"] != "live", member["region"] not in regions))
+    return usable
