--- /dev/null
+++ b/filbertreach/platform/_lease_keeper.py
@@ -0,0 +1,157 @@
+"""Holds a lease and knows when it may have lapsed."""
+
+from collections.abc import Awaitable, Callable
+from types import TracebackType
+from typing import Self
+
+import anyio
+import anyio.abc
+from returns.result import Success
+
+from filbertreach.platform._errors import LeaseExpiredError, PlatformError, RateLimitedError
+from filbertreach.platform._key_value import KeyValueClient, Lease
+
+_RENEWALS_PER_TTL = 3
+"""Two renewals may fail before the lease lapses."""
+_RETRIES_PER_TTL = 10
+_REVOKE_SECONDS = 1.0
+"""Bound of the revocation when the keeper ends."""
+
+LeaseCallback = Callable[[Lease], Awaitable[None]]
+
+
+class LeaseKeeper:
+    """Grants and renews a lease while entered.
+
+    Work that relies on the lease reads `lease` immediately before it acts, compares the id with
+    that of the lease it began under, and stops when it differs or is None. The time is read at that
+    moment, so a process that was paused sees the lapse before anything else has run. `on_lapsed`
+    has ended before a new lease is asked for.
+    """
+
+    def __init__(
+        self,
+        *,
+        client: KeyValueClient,
+        ttl_seconds: float,
+        on_granted: LeaseCallback | None = None,
+        on_lapsed: LeaseCallback | None = None,
+        revoke_on_exit: bool = True,
+    ) -> None:
+        """Creates a keeper without a lease.
+
+        Args:
+            client: Client; its clock must be CLOCK_BOOTTIME except in tests.
+            ttl_seconds: Time of the lease.
+            on_granted: Called with each new lease, for example to write its keys.
+            on_lapsed: Called with each lease that may have lapsed.
+            revoke_on_exit: Whether the lease and its keys end with the keeper.
+        """
+        self._client = client
+        self._clock = client.clock
+        self._ttl_seconds = ttl_seconds
+        self._on_granted = on_granted
+        self._on_lapsed = on_lapsed
+        self._revoke_on_exit = revoke_on_exit
+        self._lease: Lease | None = None
+        self._granted = anyio.Event()
+        self._group: anyio.abc.TaskGroup | None = None
+        self.lapses = 0
+        """How often a lease lapsed."""
+        self.last_error: PlatformError | None = None
+        """Error of the last call, None if it succeeded."""
+
+    @property
+    def lease(self) -> Lease | None:
+        """The lease, or None if there is none that is certain to be in force now."""
+        if self._lease is None or self._clock.now() >= self._lease.lapses_at:
+            return None
+        return self._lease
+
+    @property
+    def remaining_seconds(self) -> float:
+        """Time for which the lease is certain to be in force, 0 if it isn't."""
+        lease = self._lease
+        return 0.0 if lease is None else max(0.0, lease.lapses_at - self._clock.now())
+
+    async def wait_held(self) -> Lease:
+        """Waits until a lease is held and returns it."""
+        while True:
+            lease = self.lease
+            if lease is not None:
+                return lease
+            await self._granted.wait()
+            if self.lease is None:
+                # The keeper has not yet noticed the lapse.
+                await anyio.sleep(self._ttl_seconds / _RETRIES_PER_TTL)
+
+    async def __aenter__(self) -> Self:
+        """Starts to ask for a lease, without waiting for it."""
+        self._group = anyio.create_task_group()
+        await self._group.__aenter__()
+        self._group.start_soon(self._run, name="lease keeper")
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> bool | None:
+        """Stops renewing and revokes the lease."""
+        assert self._group is not None
+        self._group.cancel_scope.cancel()
+        suppressed = await self._group.__aexit__(kind, error, trace)
+        lease, self._lease = self._lease, None
+        if lease is not None and self._revoke_on_exit:
+            with anyio.move_on_after(_REVOKE_SECONDS, shield=True):
+                await self._client.revoke_lease(lease)
+        return suppressed
+
+    async def _run(self) -> None:
+        while True:
+            if self._lease is not None and self.lease is None:
+                lapsed = self._lease
+                await self._lapse()
+                # The service may still hold the lease; its keys must not outlive the report.
+                await self._client.revoke_lease(lapsed)
+            if self._lease is None:
+                await self._grant()
+            else:
+                await self._renew(self._lease)
+            await anyio.sleep(self._pause_seconds())
+
+    def _pause_seconds(self) -> float:
+        if isinstance(self.last_error, RateLimitedError):
+            return self.last_error.retry_after_seconds
+        parts = _RENEWALS_PER_TTL if self.last_error is None else _RETRIES_PER_TTL
+        return self._ttl_seconds / parts
+
+    async def _grant(self) -> None:
+        result = await self._client.grant_lease(self._ttl_seconds)
+        if not isinstance(result, Success):
+            self.last_error = result.failure()
+            return
+        self.last_error = None
+        self._lease = result.unwrap()
+        self._granted.set()
+        if self._on_granted is not None:
+            await self._on_granted(self._lease)
+
+    async def _renew(self, lease: Lease) -> None:
+        result = await self._client.renew_lease(lease)
+        if isinstance(result, Success):
+            self.last_error = None
+            self._lease = result.unwrap()
+            return
+        self.last_error = result.failure()
+        if isinstance(self.last_error, LeaseExpiredError):
+            await self._lapse()
+
+    async def _lapse(self) -> None:
+        lease, self._lease = self._lease, None
+        assert lease is not None
+        self._granted = anyio.Event()
+        self.lapses += 1
+        if self._on_lapsed is not None:
+            await self._on_lapsed(lease)
--- a/filbertreach_standins/_server.py
+++ b/filbertreach_standins/_server.py
@@ -101,6 +101,13 @@
     def reset(self) -> None:
         """Clears what the stand-in holds and counted; its faults are already off."""
 
+    def faults_will_change(self, names: set[str]) -> None:  # noqa: B027
+        """Records what must be known from before faults are set.
+
+        Args:
+            names: Faults named in the request.
+        """
+
     def faults_changed(self, names: set[str]) -> None:  # noqa: B027
         """Acts on faults that were just set.
 
@@ -183,6 +190,7 @@
             case "PUT", "/admin/faults":
                 if not isinstance(body, dict):
                     raise FaultError("expected a JSON object of faults")
+                self.faults_will_change(set(body))
                 self.faults.update(body)
                 self._act_on_connections(set(body))
                 self.faults_changed(set(body))
@@ -191,8 +199,8 @@
                 return 200, {"connections": self.connection_counters(), **self.counters(query)}
             case "POST", "/admin/reset":
                 self.faults.clear()
-                self.connections_opened = self.connections_peak = len(self.connections)
-                self.connections_refused = 0
+                self.connections_peak = len(self.connections)
+                self.connections_opened = self.connections_refused = 0
                 self.reset()
                 return 200, {}
         return await self.administer(method, path, query, body)
--- a/filbertreach_standins/leaf/_leaf.py
+++ b/filbertreach_standins/leaf/_leaf.py
@@ -123,13 +123,16 @@
         self._history.clear()
         self.faults_changed(set())
 
-    def faults_changed(self, names: set[str]) -> None:
-        """Takes over changed versions and shards, and starts to record reports that lag."""
-        versions = self.faults.value("versions")
-        shards = self.faults.value("shards")
+    def faults_will_change(self, names: set[str]) -> None:
+        """Begins to record reports with the state before the lag."""
         if "report_lag_seconds" in names:
             self._history.clear()
             self._sample()
+
+    def faults_changed(self, names: set[str]) -> None:
+        """Takes over changed versions and shards."""
+        versions = self.faults.value("versions")
+        shards = self.faults.value("shards")
         self._versions = self.definition.versions if versions is None else versions
         self._shards = frozenset(self.definition.shards if shards is None else shards)
 
@@ -269,6 +272,10 @@
             await self._refuse(send, 400, f"the call can't be read: {error!r}", _NOT_STARTED)
             return
         remaining = call.remaining_seconds
+        if remaining is not None and remaining <= 0:
+            # A cancel scope stops the call only at its first wait, after the execution is counted.
+            await self._refuse(send, 504, "deadline passed", _NOT_STARTED)
+            return
         deadline = float("inf") if remaining is None else anyio.current_time() + remaining
         connection.on_lost = call.cancel
         self._calls_by_id[call.call_id] = call
