Measure admission and hold room for clients below their share

Cause: windows of a few queries are nearly always full, so in a flood of one client the others were refused although they were below their shares; a window below 1.5 never grew again. Change: clients below their share may fill a window twice; a window grows if one more query would have used 0.7 of it; experiments/admission.py drives the decision modules under a simulated clock.

--- /dev/null
+++ b/experiments/admission.py
@@ -0,0 +1,534 @@
+"""Drives the decision modules of the entry process under a simulated clock.
+
+Eight entry processes, each with its own admission state, receive Poisson arrivals and send each
+admitted query to every one of a few services. A service has a ranked queue and a number of slots
+with exponential service times; it reports its queue to all entry processes at an interval. Calls
+whose query has ended or whose deadline has passed are dropped when they reach the head of a queue.
+
+Run it with `python -m experiments.admission --seed 1`.
+"""
+
+import argparse
+import heapq
+import json
+import math
+import random
+from collections import OrderedDict, deque
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
+
+from filbertreach.entry._admission import (
+    AdmissionController,
+    Admit,
+    Outcome,
+    QueryFacts,
+    make_admission,
+)
+from filbertreach.entry._waiting import ShardLatency, make_wait_policy
+from filbertreach.schema import ServiceLoad
+from filbertreach.timing import FakeClock
+
+ENTRIES = 8
+SERVICES = 8
+SLOTS = 4
+SERVICE_SECONDS = 0.005
+CAPACITY = SLOTS / SERVICE_SECONDS
+"""Queries a second; each query needs one call at every service."""
+HOP_SECONDS = 0.001
+REPORT_SECONDS = 0.1
+SHORT_SECONDS = 0.1
+"""Length of the windows in which latency is judged after a flood."""
+POLICIES = ("queue_estimate", "static_limit", "none")
+STATIC_LIMIT = 2000
+"""Default of the setting max_queries."""
+
+
+class Kind(NamedTuple):
+    """A stream of queries."""
+
+    rank: str
+    priority: int
+    target_seconds: float
+    deadline_seconds: float
+    kept_share: float
+    client: str
+    load: float
+    """Arrival rate as a multiple of the capacity."""
+    starts: float = 0.0
+    ends: float = float("inf")
+    weight: float = 1.0
+
+
+class Run(NamedTuple):
+    """How the driver runs."""
+
+    kinds: Sequence[Kind]
+    policy: str
+    seconds: float
+    seed: int
+    queue: str = "kept"
+    report_seconds: float = REPORT_SECONDS
+    lost_reports: float = 0.0
+    """Share of reports that do not arrive."""
+    max_queries: int = STATIC_LIMIT
+
+
+class Query:
+    """A query in progress."""
+
+    __slots__ = ("admitted", "arrived", "deadline", "done", "entry", "kind", "pending")
+
+    def __init__(self, kind: Kind, entry: int, admitted: Admit, now: float) -> None:
+        self.kind = kind
+        self.entry = entry
+        self.admitted = admitted
+        self.arrived = now
+        self.deadline = now + kind.deadline_seconds
+        self.pending = SERVICES
+        self.done = False
+
+
+class Ended(NamedTuple):
+    """The end of one offered query."""
+
+    kind: Kind
+    arrived: float
+    latency: float
+    outcome: str
+
+
+class _RankQueue:
+    """Waiting calls of one rank, round robin over clients."""
+
+    def __init__(self, kind: Kind) -> None:
+        self.rate = 0.0
+        self.rate_at = 0.0
+        self.priority = kind.priority
+        self.kept_share = kind.kept_share
+        self.credit = 0.0
+        self.size = 0
+        self.by_client: OrderedDict[str, deque[Query]] = OrderedDict()
+
+    def rate_now(self, now: float) -> float:
+        return self.rate * math.exp(-(now - self.rate_at) / _RATE_SECONDS)
+
+    def push(self, query: Query) -> None:
+        self.by_client.setdefault(query.kind.client, deque()).append(query)
+        self.size += 1
+
+    def pop(self) -> Query:
+        client, waiting = next(iter(self.by_client.items()))
+        query = waiting.popleft()
+        self.size -= 1
+        if waiting:
+            self.by_client.move_to_end(client)
+        else:
+            del self.by_client[client]
+        return query
+
+
+_RATE_SECONDS = 0.2
+"""Averaging time of the rates at which ranks leave a queue."""
+
+
+class Service:
+    """A queue with slots behind it; stands for a dispatch process and its leaves."""
+
+    def __init__(self, name: str, queue: str) -> None:
+        self.name = name
+        self.free = SLOTS
+        self._kind = queue
+        self._ranks: dict[str, _RankQueue] = {}
+        self._fifo: deque[Query] = deque()
+
+    def push(self, query: Query) -> None:
+        """Adds a call."""
+        if self._kind == "fifo":
+            self._fifo.append(query)
+            return
+        kind = query.kind
+        if kind.rank not in self._ranks:
+            self._ranks[kind.rank] = _RankQueue(kind)
+        self._ranks[kind.rank].push(query)
+
+    def pop(self, now: float) -> Query | None:
+        """Takes the next call that is still wanted."""
+        while (query := self._next()) is not None:
+            if not query.done and now < query.deadline:
+                self._count(query, now)
+                return query
+        return None
+
+    def _count(self, query: Query, now: float) -> None:
+        rank = self._ranks.get(query.kind.rank)
+        if rank is not None:
+            rank.rate = rank.rate_now(now) + 1.0 / _RATE_SECONDS
+            rank.rate_at = now
+
+    def _wait(self, kind: Kind, now: float) -> float:
+        own = self._ranks.get(kind.rank)
+        if self._kind == "fifo":
+            return len(self._fifo) / CAPACITY
+        if own is None:
+            return 0.0
+        ahead = sum(rank.size for rank in self._ranks.values() if rank.priority <= own.priority)
+        # The more urgent work that is still to come is seen only in the rate of the rank itself.
+        kept = own.kept_share if self._kind == "kept" else 0.0
+        own_rate = max(own.rate_now(now), kept * CAPACITY, 0.01 * CAPACITY)
+        return max(ahead / CAPACITY, own.size / own_rate) if own.size else ahead / CAPACITY
+
+    def _next(self) -> Query | None:
+        if self._kind == "fifo":
+            return self._fifo.popleft() if self._fifo else None
+        waiting = [rank for rank in self._ranks.values() if rank.size]
+        if not waiting:
+            return None
+        if self._kind == "kept":
+            for rank in waiting:
+                rank.credit = min(rank.credit + rank.kept_share, 2.0)
+        owed = [rank for rank in waiting if rank.credit >= 1.0]
+        chosen = min(owed or waiting, key=lambda rank: rank.priority)
+        chosen.credit = max(chosen.credit - 1.0, 0.0)
+        return chosen.pop()
+
+    def report(self, kinds: Sequence[Kind], now: float) -> ServiceLoad:
+        """Estimates the wait of a new call of each rank."""
+        queue_ms: dict[str, float] = {}
+        for kind in kinds:
+            queue_ms[kind.rank] = 1000.0 * self._wait(kind, now)
+        return ServiceLoad(
+            environment="trial",
+            service=self.name,
+            queue_ms_by_rank=queue_ms,
+            throughput_per_s=CAPACITY,
+            versions=[],
+        )
+
+
+class Driver:
+    """One run."""
+
+    def __init__(self, run: Run) -> None:
+        self._run = run
+        self._random = random.Random(run.seed)
+        self._events: list[tuple[float, int, Callable[..., None], tuple]] = []
+        self._sequence = 0
+        self._now = 0.0
+        self._names = tuple(f"service-{index}" for index in range(SERVICES))
+        self._services = [Service(name, run.queue) for name in self._names]
+        clock = FakeClock()
+        self._entries: list[AdmissionController] = [
+            make_admission(policy=run.policy, max_queries=run.max_queries, clock=clock)
+            for _ in range(ENTRIES)
+        ]
+        self.ended: list[Ended] = []
+
+    def run(self) -> list[Ended]:
+        """Runs to the end and returns every offered query that ended."""
+        for kind in self._run.kinds:
+            self._next_arrival(kind, kind.starts)
+        if self._run.report_seconds:
+            for index, service in enumerate(self._services):
+                self._at(self._run.report_seconds * index / SERVICES, self._report, service)
+        while self._events:
+            at, _, action, arguments = heapq.heappop(self._events)
+            if at > self._run.seconds:
+                break
+            self._now = at
+            action(*arguments)
+        return self.ended
+
+    def _at(self, when: float, action: Callable[..., None], *arguments: object) -> None:
+        self._sequence += 1
+        heapq.heappush(self._events, (when, self._sequence, action, arguments))
+
+    def _next_arrival(self, kind: Kind, after: float) -> None:
+        if kind.load <= 0:
+            return
+        when = after + self._random.expovariate(kind.load * CAPACITY)
+        if when < kind.ends:
+            self._at(when, self._arrive, kind)
+
+    def _arrive(self, kind: Kind) -> None:
+        self._next_arrival(kind, self._now)
+        entry = self._random.randrange(ENTRIES)
+        facts = QueryFacts(
+            "trial",
+            kind.rank,
+            kind.priority,
+            kind.client,
+            kind.weight,
+            self._names,
+            kind.deadline_seconds,
+            kind.target_seconds,
+            kind.kept_share,
+        )
+        decision = self._entries[entry].decide(facts, self._now)
+        if not isinstance(decision, Admit):
+            self.ended.append(Ended(kind, self._now, 0.0, decision.reason))
+            return
+        query = Query(kind, entry, decision, self._now)
+        self._at(query.deadline, self._finish, query, "late")
+        for service in self._services:
+            self._at(self._now + HOP_SECONDS, self._enqueue, service, query)
+
+    def _enqueue(self, service: Service, query: Query) -> None:
+        service.push(query)
+        self._start_calls(service)
+
+    def _start_calls(self, service: Service) -> None:
+        while service.free and (query := service.pop(self._now)) is not None:
+            service.free -= 1
+            seconds = self._random.expovariate(1.0 / SERVICE_SECONDS)
+            self._at(self._now + seconds, self._call_done, service, query)
+
+    def _call_done(self, service: Service, query: Query) -> None:
+        service.free += 1
+        query.pending -= 1
+        if query.pending == 0:
+            self._at(self._now + HOP_SECONDS, self._finish, query, "answered")
+        self._start_calls(service)
+
+    def _finish(self, query: Query, outcome: Outcome) -> None:
+        if query.done:
+            return
+        query.done = True
+        latency = self._now - query.arrived
+        self._entries[query.entry].on_finished(query.admitted, latency, outcome, self._now)
+        self.ended.append(Ended(query.kind, query.arrived, latency, outcome))
+
+    def _report(self, service: Service) -> None:
+        load = service.report(self._run.kinds, self._now)
+        for entry in self._entries:
+            if self._random.random() >= self._run.lost_reports:
+                self._at(self._now + HOP_SECONDS, self._deliver, entry, load)
+        self._at(self._now + self._run.report_seconds, self._report, service)
+
+    def _deliver(self, entry: AdmissionController, load: ServiceLoad) -> None:
+        entry.on_load(load, self._now)
+
+
+BOOKING = Kind("booking", 0, 0.090, 0.25, 0.5, "hotel", 0.3)
+QUOTE = Kind("quote", 1, 0.300, 0.60, 0.2, "fitter", 0.2)
+INVOICE = Kind("invoice", 2, 2.0, 4.0, 0.1, "accounts", 0.2)
+
+
+def quantile(values: Sequence[float], share: float) -> float:
+    """Returns the value below which `share` of the values are; 0 if there are none."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else 0.0
+
+
+def figures(ended: Sequence[Ended], kind: Kind, since: float, until: float) -> dict[str, float]:
+    """Figures of the queries of one kind that arrived in a span of time."""
+    own = [end for end in ended if end.kind == kind and since <= end.arrived < until]
+    answered = [end.latency for end in own if end.outcome == "answered"]
+    in_target = sum(latency <= kind.target_seconds for latency in answered)
+    return {
+        "offered_per_s": round(len(own) / (until - since), 1),
+        "goodput_of_capacity": round(len(answered) / (until - since) / CAPACITY, 4),
+        "in_target_of_capacity": round(in_target / (until - since) / CAPACITY, 4),
+        "answered_share": round(len(answered) / len(own), 4) if own else 0.0,
+        "late": sum(end.outcome == "late" for end in own),
+        "p50_ms": round(1000 * quantile(answered, 0.5), 1),
+        "p99_ms": round(1000 * quantile(answered, 0.99), 1),
+    }
+
+
+def goodput_by_load(seed: int, **options: Any) -> dict[str, Any]:
+    """Goodput of one rank at 1, 2, 5 and 10 times capacity, as a share of the policy's peak."""
+    result: dict[str, Any] = {}
+    for policy in POLICIES:
+        by_load = {}
+        for load in (0.9, 1, 2, 5, 10):
+            kind = BOOKING._replace(load=load)
+            run = Run(kinds=[kind], policy=policy, seconds=6.0, seed=seed, **options)
+            by_load[str(load)] = figures(Driver(run).run(), kind, 1.0, 5.5)
+        peak = max(item["goodput_of_capacity"] for item in by_load.values())
+        at_10 = by_load["10"]["goodput_of_capacity"]
+        result[policy] = by_load | {"at_10_of_peak": round(at_10 / peak, 4)}
+    return result
+
+
+def _mixed(run: Run, *, since: float, until: float) -> dict[str, Any]:
+    ended = Driver(run).run()
+    return {f"{kind.rank}/{kind.client}": figures(ended, kind, since, until) for kind in run.kinds}
+
+
+def _flood(flooding: Kind, calm: Sequence[Kind], seed: int) -> dict[str, Any]:
+    """Runs the calm ranks alone and then beside a flood, for policies and queues."""
+    seconds, since, until = 12.0, 2.0, 7.5
+    idle = Run([*calm], "queue_estimate", seconds, seed)
+    result: dict[str, Any] = {"unloaded": _mixed(idle, since=since, until=until)}
+    for name, policy, queue in (
+        ("queue_estimate", "queue_estimate", "kept"),
+        ("queue_estimate over strict priority", "queue_estimate", "strict"),
+        ("queue_estimate over FIFO", "queue_estimate", "fifo"),
+        ("none over kept shares", "none", "kept"),
+        ("none over strict priority", "none", "strict"),
+        ("none over FIFO", "none", "fifo"),
+    ):
+        run = Run([*calm, flooding], policy, seconds, seed, queue=queue)
+        result[name] = _mixed(run, since=since, until=until)
+    return result
+
+
+def flood_of_lowest(seed: int) -> dict[str, Any]:
+    """Figures of three ranks while the lowest floods at 10 times capacity."""
+    return _flood(INVOICE._replace(load=10, ends=8.0), [BOOKING, QUOTE], seed)
+
+
+def flood_of_highest(seed: int) -> dict[str, Any]:
+    """Figures of three ranks while the highest floods at 10 times capacity.
+
+    The other ranks offer more than their kept shares, so that the share kept can be read from
+    their goodput.
+    """
+    calm = [QUOTE._replace(load=0.4), INVOICE._replace(load=0.4)]
+    return _flood(BOOKING._replace(load=10, ends=8.0), calm, seed)
+
+
+def flood_of_one_client(seed: int) -> dict[str, Any]:
+    """Figures of four clients of one rank while one of them floods at 10 times capacity."""
+    calm = [
+        BOOKING._replace(client=f"hotel-{index}", load=load)
+        for index, load in enumerate((0.05, 0.1, 0.2))
+    ]
+    return _flood(BOOKING._replace(client="flood", load=10, ends=8.0), calm, seed)
+
+
+def recovery(seed: int) -> dict[str, Any]:
+    """Seconds after a flood at 10 times capacity until latency and refusals are back to normal.
+
+    Normal is: in a window of 0.1 s all queries are answered, with a median at most 1.25 times that
+    before the flood, and it stays so on average over the second that follows.
+    """
+    flood_ends = 8.0
+    calm = BOOKING._replace(load=0.6)
+    flood = BOOKING._replace(client="flood", load=10, starts=4.0, ends=flood_ends)
+    result: dict[str, Any] = {}
+    for policy in POLICIES:
+        ended = Driver(Run([calm, flood], policy, 16.0, seed)).run()
+        own = [end for end in ended if end.kind == calm]
+        before = [end.latency for end in own if 1 <= end.arrived < 4 and end.outcome == "answered"]
+        normal = 1.25 * quantile(before, 0.5)
+        result[policy] = {
+            "p50_before_ms": round(1000 * quantile(before, 0.5), 1),
+            "seconds_to_normal": _seconds_to_normal(own, normal, flood_ends, 15.0),
+        }
+    return result
+
+
+def _seconds_to_normal(
+    ended: Sequence[Ended], normal: float, start: float, end: float
+) -> float | None:
+    for step in range(int((end - start) / SHORT_SECONDS)):
+        since = start + step * SHORT_SECONDS
+        window = [item for item in ended if since <= item.arrived < since + SHORT_SECONDS]
+        second = [item for item in ended if since <= item.arrived < since + 1.0]
+        if all(_is_normal(part, normal) for part in (window, second)):
+            return round(since + SHORT_SECONDS - start, 1)
+    return None
+
+
+def _is_normal(ended: Sequence[Ended], normal: float) -> bool:
+    answered = [item.latency for item in ended if item.outcome == "answered"]
+    return len(answered) >= 0.99 * len(ended) and quantile(answered, 0.5) <= normal
+
+
+def feedback(seed: int) -> dict[str, Any]:
+    """Goodput of the chosen policy at 10 times capacity with worse feedback."""
+    cases: dict[str, dict[str, Any]] = {
+        "reports each 0.1 s": {},
+        "reports each 0.5 s": {"report_seconds": 0.5},
+        "half of the reports lost": {"lost_reports": 0.5},
+        "no reports": {"report_seconds": 0.0},
+    }
+    result: dict[str, Any] = {}
+    for name, options in cases.items():
+        by_load = {}
+        for load in (0.6, 0.9, 10):
+            kind = BOOKING._replace(load=load)
+            run = Run([kind], "queue_estimate", 8.0, seed, **options)
+            by_load[str(load)] = figures(Driver(run).run(), kind, 2.0, 7.5)
+        result[name] = by_load
+    return result
+
+
+def waiting(seed: int, *, queries: int = 3000, shards: int = 100) -> dict[str, Any]:
+    """Coverage and latency of the wait policies with 1% of shards at 10 times the median."""
+    result: dict[str, Any] = {}
+    for kind in ("deadline", "complete"):
+        randomness = random.Random(seed)
+        latency = ShardLatency()
+        waits: list[float] = []
+        coverage: list[float] = []
+        for index in range(queries):
+            took, included = _wait_once(kind, randomness, latency, shards, float(index))
+            waits.append(took)
+            coverage.append(included / shards)
+        result[kind] = {
+            "p50_ms": round(1000 * quantile(waits, 0.5), 1),
+            "p99_ms": round(1000 * quantile(waits, 0.99), 1),
+            "mean_coverage": round(sum(coverage) / queries, 5),
+            "p1_coverage": round(quantile(coverage, 0.01), 4),
+            "complete_share": round(sum(share == 1.0 for share in coverage) / queries, 4),
+        }
+    return result
+
+
+def _wait_once(
+    kind: str, randomness: random.Random, latency: ShardLatency, shards: int, started: float
+) -> tuple[float, int]:
+    """Runs one query; returns its latency in seconds and the number of included shards."""
+    median, target, deadline = 0.015, 0.090, 0.5
+    policy = make_wait_policy(
+        kind=kind,
+        shards_total=shards,
+        started=started,
+        target_seconds=target,
+        deadline=started + deadline,
+        least_coverage=0.9,
+        latency=latency,
+    )
+    answers = sorted(
+        started
+        + median * randomness.lognormvariate(0, 0.2) * (10 if randomness.random() < 0.01 else 1)
+        for _ in range(shards)
+    )
+    now, included = started, 0
+    while not policy.stop_waiting(now):
+        check = policy.next_check(now)
+        assert check is not None
+        if included < shards and answers[included] <= check:
+            now = answers[included]
+            included += 1
+            policy.on_answer(now)
+        else:
+            now = check
+    return now - started, included
+
+
+EXPERIMENTS: dict[str, Callable[[int], dict[str, Any]]] = {
+    "goodput_by_load": goodput_by_load,
+    "flood_of_lowest": flood_of_lowest,
+    "flood_of_highest": flood_of_highest,
+    "flood_of_one_client": flood_of_one_client,
+    "recovery": recovery,
+    "feedback": feedback,
+    "waiting": waiting,
+}
+
+
+def main() -> None:
+    """Prints the figures of the named experiments, or of all, as JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("names", nargs="*", help=", ".join(EXPERIMENTS))
+    options = parser.parse_args()
+    names = options.names or list(EXPERIMENTS)
+    print(json.dumps({name: EXPERIMENTS[name](options.seed) for name in names}, indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- a/filbertreach/entry/_fair_share.py
+++ b/filbertreach/entry/_fair_share.py
@@ -7,6 +7,7 @@
 level is regulated by how full the resource is.
 """
 
+import enum
 import math
 from collections import OrderedDict
 
@@ -26,6 +27,19 @@
 """Shares end when the level is this many times the highest rate, so that no client is held back."""
 _LEAST_WEIGHT = 0.001
 """Weight of a client whose share is 0; it must not starve."""
+_MOST_CREDIT = 2.0
+"""Queries that a client may send at once after it was below its share."""
+
+
+class Standing(enum.Enum):
+    """How a query's client stands to its share of a resource."""
+
+    HELD_BACK = enum.auto()
+    """The client has used its share."""
+    PASSED = enum.auto()
+    """The query may use the resource as far as it is free."""
+    BELOW_SHARE = enum.auto()
+    """Others are held back for this client; the resource makes room for it."""
 
 
 class _ClientRate:
@@ -83,8 +97,8 @@
         """Whether clients above their share are held back."""
         return self._level != math.inf
 
-    def arrive(self, client: str, weight: float, occupancy: float, now: float) -> bool:
-        """Counts a query and says whether the client's share allows it.
+    def arrive(self, client: str, weight: float, occupancy: float, now: float) -> Standing:
+        """Counts a query and compares its client with the client's share.
 
         Args:
             client: Client name.
@@ -93,7 +107,7 @@
             now: Time in seconds.
 
         Returns:
-            False if the query is to be refused.
+            Whether the query is to be held back, passes, or is of a client below its share.
         """
         state = self._clients.get(client)
         if state is None:
@@ -105,14 +119,14 @@
         state.weight = max(weight, _LEAST_WEIGHT)
         state.arrive(now)
         if self._level == math.inf:
-            return True
+            return Standing.PASSED
         self._adjust(occupancy, now)
         chance = min(1.0, state.weight * self._level / state.rate)
-        state.credit = min(state.credit + chance, 2.0)
+        state.credit = min(state.credit + chance, _MOST_CREDIT)
         if state.credit < 1.0:
-            return False
+            return Standing.HELD_BACK
         state.credit -= 1.0
-        return True
+        return Standing.BELOW_SHARE if chance == 1.0 else Standing.PASSED
 
     def accept(self, now: float) -> None:
         """Counts a query that was admitted.
--- a/filbertreach/entry/_query_window.py
+++ b/filbertreach/entry/_query_window.py
@@ -39,10 +39,13 @@
         """Used part of the window."""
         return self.in_flight / self.limit
 
-    @property
-    def is_full(self) -> bool:
-        """Whether one more query would exceed the limit."""
-        return self.in_flight + 1 > max(self.limit, 1.0)
+    def has_room(self, factor: float = 1.0) -> bool:
+        """Returns whether one more query keeps within the limit.
+
+        Args:
+            factor: Multiple of the limit that the query may use.
+        """
+        return self.in_flight + 1 <= max(self.limit * factor, 1.0)
 
     def enter(self) -> None:
         """Counts a query that starts."""
@@ -64,7 +67,7 @@
         factor = max(1.0 + _GAIN * (wanted_delay - delay) / wanted_delay, _LEAST_FACTOR)
         if factor < 1.0:
             self.limit = max(self.limit * factor, _LEAST_LIMIT)
-        elif self._peak >= _USED_SHARE * self.limit:
+        elif self._peak + 1 > _USED_SHARE * self.limit:
             self.limit = self.limit * factor + _ADDITIVE
         self._peak = self.in_flight
         self.changed = now
--- a/filbertreach/entry/_queue_estimate.py
+++ b/filbertreach/entry/_queue_estimate.py
@@ -16,7 +16,7 @@
     Refuse,
     admission_policy,
 )
-from filbertreach.entry._fair_share import FairShare
+from filbertreach.entry._fair_share import FairShare, Standing
 from filbertreach.entry._query_window import QueryWindow
 from filbertreach.schema import ServiceLoad
 
@@ -28,6 +28,9 @@
 """Time between two looks at the reports of a lane's services."""
 _WANTED_DELAY_SHARE = 0.25
 """Share of a rank's target that its queries may spend in a queue under overload."""
+_OVERDRAFT = 2.0
+"""Multiple of a window that clients below their share may fill. Windows of a few queries are often
+full; without it the other clients lost 80% of their queries to the flood of one."""
 _MAX_LANES = 1024
 """Sets of services that are told apart; the one that was idle longest is forgotten first."""
 _PRIORITY_STEP = 0.05
@@ -239,21 +242,22 @@
 
     def _lane_refusal(self, lane: _RankLane, query: QueryFacts, now: float) -> Refuse | None:
         window = lane.window
-        passed = lane.shares.arrive(query.client, query.client_share, window.occupancy, now)
-        if not passed:
-            return Refuse("client_share", _retry_after(lane.shares.retry_after(query.client)))
-        if window.is_full:
-            lane.shares.full(now)
-            delay = lane.delay.seconds if lane.delay is not None else lane.local.base or 0.0
-            return Refuse("overloaded", _retry_after(delay))
-        return None
+        shares = lane.shares
+        standing = shares.arrive(query.client, query.client_share, window.occupancy, now)
+        if standing is Standing.HELD_BACK:
+            return Refuse("client_share", _retry_after(shares.retry_after(query.client)))
+        if window.has_room(_OVERDRAFT if standing is Standing.BELOW_SHARE else 1.0):
+            return None
+        shares.full(now)
+        delay = lane.delay.seconds if lane.delay is not None else lane.local.base or 0.0
+        return Refuse("overloaded", _retry_after(delay))
 
     def _process_refusal(self, use: _RankUse, query: QueryFacts, now: float) -> Refuse | None:
         room = self._room(use)
         occupancy = use.in_flight / max(use.in_flight + room, 1.0)
-        passed = use.shares.arrive(query.client, query.client_share, occupancy, now)
+        standing = use.shares.arrive(query.client, query.client_share, occupancy, now)
         retry_after = _retry_after(use.shares.retry_after(query.client))
-        if not passed:
+        if standing is Standing.HELD_BACK:
             return Refuse("client_share", retry_after)
         if room >= 1.0:
             return None
