Keep admission windows for each service instead of each set of services

Cause: queries over arbitrary subsets of shards would get a window for each subset, each with at least one query, so that a flood spread over subsets could not be held. Change: windows for each rank and service; a query needs room in all of them. Client shares are counted for each rank on queries whose windows are more than half full. Local evidence uses the queue times that answers state.

--- a/experiments/admission.py
+++ b/experiments/admission.py
@@ -71,12 +71,23 @@
     lost_reports: float = 0.0
     """Share of reports that do not arrive."""
     max_queries: int = STATIC_LIMIT
+    states_queue_time: bool = True
+    """Whether answers state their time in the queue."""
 
 
 class Query:
     """A query in progress."""
 
-    __slots__ = ("admitted", "arrived", "deadline", "done", "entry", "kind", "pending")
+    __slots__ = (
+        "admitted",
+        "arrived",
+        "deadline",
+        "done",
+        "entry",
+        "kind",
+        "pending",
+        "queue_seconds",
+    )
 
     def __init__(self, kind: Kind, entry: int, admitted: Admit, now: float) -> None:
         self.kind = kind
@@ -86,6 +97,7 @@
         self.deadline = now + kind.deadline_seconds
         self.pending = SERVICES
         self.done = False
+        self.queue_seconds = 0.0
 
 
 class Ended(NamedTuple):
@@ -210,7 +222,11 @@
 
     def __init__(self, run: Run) -> None:
         self._run = run
+        # Arrivals have streams of their own, so that every policy sees the same ones.
         self._random = random.Random(run.seed)
+        self._arrivals = {
+            kind: random.Random(f"{run.seed} {kind.rank} {kind.client}") for kind in run.kinds
+        }
         self._events: list[tuple[float, int, Callable[..., None], tuple]] = []
         self._sequence = 0
         self._now = 0.0
@@ -245,13 +261,13 @@
     def _next_arrival(self, kind: Kind, after: float) -> None:
         if kind.load <= 0:
             return
-        when = after + self._random.expovariate(kind.load * CAPACITY)
+        when = after + self._arrivals[kind].expovariate(kind.load * CAPACITY)
         if when < kind.ends:
             self._at(when, self._arrive, kind)
 
     def _arrive(self, kind: Kind) -> None:
         self._next_arrival(kind, self._now)
-        entry = self._random.randrange(ENTRIES)
+        entry = self._arrivals[kind].randrange(ENTRIES)
         facts = QueryFacts(
             "trial",
             kind.rank,
@@ -279,6 +295,8 @@
     def _start_calls(self, service: Service) -> None:
         while service.free and (query := service.pop(self._now)) is not None:
             service.free -= 1
+            waited = self._now - query.arrived - HOP_SECONDS
+            query.queue_seconds = max(query.queue_seconds, waited)
             seconds = self._random.expovariate(1.0 / SERVICE_SECONDS)
             self._at(self._now + seconds, self._call_done, service, query)
 
@@ -294,7 +312,13 @@
             return
         query.done = True
         latency = self._now - query.arrived
-        self._entries[query.entry].on_finished(query.admitted, latency, outcome, self._now)
+        self._entries[query.entry].on_finished(
+            query.admitted,
+            latency,
+            outcome,
+            self._now,
+            query.queue_seconds if self._run.states_queue_time else None,
+        )
         self.ended.append(Ended(query.kind, query.arrived, latency, outcome))
 
     def _report(self, service: Service) -> None:
@@ -443,6 +467,7 @@
         "reports each 0.5 s": {"report_seconds": 0.5},
         "half of the reports lost": {"lost_reports": 0.5},
         "no reports": {"report_seconds": 0.0},
+        "no reports and no queue times": {"report_seconds": 0.0, "states_queue_time": False},
     }
     result: dict[str, Any] = {}
     for name, options in cases.items():
--- a/filbertreach/entry/_admission_baselines.py
+++ b/filbertreach/entry/_admission_baselines.py
@@ -30,7 +30,12 @@
         """Ignores the report."""
 
     def on_finished(
-        self, admitted: Admit, latency_seconds: float, outcome: Outcome, now: float
+        self,
+        admitted: Admit,
+        latency_seconds: float,
+        outcome: Outcome,
+        now: float,
+        queue_seconds: float | None = None,
     ) -> None:
         """Ignores the end of a query."""
 
@@ -61,7 +66,12 @@
         """Ignores the report."""
 
     def on_finished(
-        self, admitted: Admit, latency_seconds: float, outcome: Outcome, now: float
+        self,
+        admitted: Admit,
+        latency_seconds: float,
+        outcome: Outcome,
+        now: float,
+        queue_seconds: float | None = None,
     ) -> None:
         """Makes room."""
         self._in_flight -= 1
--- a/filbertreach/entry/_admission_policy.py
+++ b/filbertreach/entry/_admission_policy.py
@@ -83,7 +83,12 @@
         """
 
     def on_finished(
-        self, admitted: Admit, latency_seconds: float, outcome: Outcome, now: float
+        self,
+        admitted: Admit,
+        latency_seconds: float,
+        outcome: Outcome,
+        now: float,
+        queue_seconds: float | None = None,
     ) -> None:
         """Ends an admitted query.
 
@@ -92,6 +97,7 @@
             latency_seconds: Time since `decide`.
             outcome: How the query ended.
             now: Time in seconds.
+            queue_seconds: Longest `queue_ms` of the query's answers, in seconds, if it has any.
         """
 
 
--- a/filbertreach/entry/_query_window.py
+++ b/filbertreach/entry/_query_window.py
@@ -1,4 +1,4 @@
-"""The number of queries of one rank that one entry process keeps in progress at its services."""
+"""The number of queries of one rank that one entry process keeps in progress at one service."""
 
 _START_LIMIT = 16.0
 """Queries in progress before anything is known; with 8 entry processes at most 128 arrive before
@@ -12,7 +12,8 @@
 _ADDITIVE = 0.5
 """Growth in queries at each change; equalises the windows of several entry processes."""
 _USED_SHARE = 0.7
-"""The window grows only if this share of it was used; else it says nothing about the delay."""
+"""The window grows only if one more query would have used this share of it. A window that is not
+used says nothing about the delay."""
 
 
 class QueryWindow:
@@ -23,34 +24,25 @@
     credits per second: the window bounds what can be queued while reports are on their way).
     """
 
-    def __init__(self, *, limit: float = _START_LIMIT) -> None:
-        """Creates an empty window.
+    __slots__ = ("_peak", "changed", "in_flight", "limit")
 
-        Args:
-            limit: First limit, in queries.
-        """
-        self.limit = limit
+    def __init__(self) -> None:
+        """Creates an empty window."""
+        self.limit = _START_LIMIT
         self.in_flight = 0
-        self._peak = 0
         self.changed = float("-inf")
+        self._peak = 0
 
     @property
-    def occupancy(self) -> float:
-        """Used part of the window."""
-        return self.in_flight / self.limit
-
-    def has_room(self, factor: float = 1.0) -> bool:
-        """Returns whether one more query keeps within the limit.
-
-        Args:
-            factor: Multiple of the limit that the query may use.
-        """
-        return self.in_flight + 1 <= max(self.limit * factor, 1.0)
+    def occupancy_after(self) -> float:
+        """Used part of the window if one more query starts; above 1 if it does not fit."""
+        return (self.in_flight + 1) / self.limit
 
     def enter(self) -> None:
         """Counts a query that starts."""
         self.in_flight += 1
-        self._peak = max(self._peak, self.in_flight)
+        if self.in_flight > self._peak:
+            self._peak = self.in_flight
 
     def leave(self) -> None:
         """Counts a query that ended."""
--- a/filbertreach/entry/_queue_estimate.py
+++ b/filbertreach/entry/_queue_estimate.py
@@ -6,7 +6,6 @@
 """
 
 from collections import OrderedDict
-from typing import NamedTuple
 
 from filbertreach.entry._admission_policy import (
     AdmissionSettings,
@@ -17,6 +16,8 @@
     admission_policy,
 )
 from filbertreach.entry._fair_share import FairShare, Standing
+from filbertreach.entry._local_delay import LocalDelay, LocalEvidence
+from filbertreach.entry._process_limit import ProcessLimit
 from filbertreach.entry._query_window import QueryWindow
 from filbertreach.schema import ServiceLoad
 
@@ -25,110 +26,86 @@
 _CONTROL_SECONDS = 0.1
 """Time between two changes of a window."""
 _REFRESH_SECONDS = 0.02
-"""Time between two looks at the reports of a lane's services."""
+"""Time between two looks at the reports of a query's services."""
 _WANTED_DELAY_SHARE = 0.25
 """Share of a rank's target that its queries may spend in a queue under overload."""
+_OVERLOADED_SHARE = 0.1
+"""Share of refused or late queries above which the queues count as too long."""
 _OVERDRAFT = 2.0
 """Multiple of a window that clients below their share may fill. Windows of a few queries are often
 full; without it the other clients lost 80% of their queries to the flood of one."""
+_CONGESTED_OCCUPANCY = 0.5
+"""Clients are compared only by queries whose windows are fuller than this, so that a client's work
+at idle services does not count against it."""
 _MAX_LANES = 1024
-"""Sets of services that are told apart; the one that was idle longest is forgotten first."""
-_PRIORITY_STEP = 0.05
-"""Share of the process's queries kept free for each more urgent rank."""
-_MAX_PRIORITY_STEPS = 4
-"""More ranks than this share the last step."""
+"""Sets of services whose windows are looked up at once; a set that is not found is set up again."""
 _LEAST_RETRY_SECONDS = 0.1
 _MOST_RETRY_SECONDS = 10.0
-_BASE_GROWTH_PER_S = 0.02
-"""Growth of the latency that counts as unloaded, for leaves that become slower for good."""
 
-_RankKey = tuple[str, str]
 
+class _Service:
+    """Newest report of one service's queue."""
 
-class _Report(NamedTuple):
-    """Queue of one service."""
+    __slots__ = ("arrived", "queue_seconds_by_rank")
 
-    queue_seconds_by_rank: dict[str, float]
-    """Time that a new call of the rank waits."""
-    arrived: float
-    """When the report arrived, in seconds."""
+    def __init__(self) -> None:
+        self.arrived = float("-inf")
+        self.queue_seconds_by_rank: dict[str, float] = {}
 
 
-class _Delay(NamedTuple):
-    """Longest queue among the services of a lane."""
+class _Member:
+    """Queries of one rank at one service."""
 
-    seconds: float
-    """Time that a new call waits there."""
-    arrived: float
-    """When it was reported, in seconds."""
+    __slots__ = ("rank", "service", "window")
 
+    def __init__(self, service: _Service, rank: str) -> None:
+        self.service = service
+        self.rank = rank
+        self.window = QueryWindow()
 
-class _LocalDelay:
-    """Queueing delay as seen in the latencies of this process's own queries."""
+    def reported_delay(self, now: float) -> float | None:
+        if now - self.service.arrived > _MAX_REPORT_AGE_SECONDS:
+            return None
+        return self.service.queue_seconds_by_rank.get(self.rank, 0.0)
 
-    def __init__(self) -> None:
-        self.base: float | None = None
-        self._base_at = 0.0
-        self._sum = 0.0
-        self._count = 0
-        self._overloaded = 0
-        self._late = 0
-
-    def record(self, latency: float, outcome: Outcome, now: float) -> None:
-        if outcome == "overloaded":
-            self._overloaded += 1
-        elif outcome == "late":
-            self._late += 1
-        elif outcome == "answered":
-            self._sum += latency
-            self._count += 1
-            if self.base is not None:
-                self.base *= 1.0 + _BASE_GROWTH_PER_S * min(now - self._base_at, 1.0)
-            self._base_at = now
-            self.base = latency if self.base is None else min(self.base, latency)
-
-    def take(self) -> tuple[float | None, float, float]:
-        """Returns mean delay, shares of late and of overloaded queries, and starts anew."""
-        finished = self._count + self._late + self._overloaded
-        delay = None
-        if self._count and self.base is not None:
-            delay = self._sum / self._count - self.base
-        late = self._late / finished if finished else 0.0
-        overloaded = self._overloaded / finished if finished else 0.0
-        self._sum = 0.0
-        self._count = self._late = self._overloaded = 0
-        return delay, late, overloaded
-
-
-class _RankLane:
-    """Queries of one rank that need one set of services."""
+    def expected_wait(self, now: float) -> float:
+        """Returns the least wait that the last report leaves possible."""
+        # The queue got shorter by at most the age of the report.
+        return max(0.0, (self.reported_delay(now) or 0.0) - (now - self.service.arrived))
 
-    def __init__(self) -> None:
-        self.window = QueryWindow()
-        self.shares = FairShare()
-        self.local = _LocalDelay()
-        self.delay: _Delay | None = None
-        self.refreshed = float("-inf")
+    def control(self, local_delay: float | None, wanted: float, now: float) -> None:
+        if now - self.window.changed < _CONTROL_SECONDS:
+            return
+        delay = self.reported_delay(now)
+        if delay is None:
+            delay = local_delay
+        elif self.service.arrived <= self.window.changed:
+            # A report from before the last change does not show what the change did.
+            return
+        if delay is not None:
+            self.window.change(delay, wanted, now)
 
 
-class _RankUse:
-    """Queries of one rank in this process."""
+class _Lane:
+    """Queries of one rank that need the same services."""
 
-    def __init__(self) -> None:
-        self.in_flight = 0
-        self.priority = 0
-        self.kept_share = 0.0
-        self.shares = FairShare()
+    def __init__(self, members: list[_Member], shares: FairShare) -> None:
+        self.members = members
+        self.shares = shares
+        self.local = LocalDelay()
+        self.expected_wait = 0.0
+        self.refreshed = float("-inf")
+        self.controlled = float("-inf")
 
 
 @admission_policy("queue_estimate")
 class QueueEstimate:
     """Refuses queries that would wait too long in the queues of the services that they need.
 
-    A lane is a rank together with a set of services. Each lane has a window of queries in progress.
-    The window is regulated by the longest queue that dispatch processes report for the rank at the
-    lane's services, or, without a report of the last 2 s, by the latencies of the lane's own
-    queries. While a window is full, its clients get weighted max-min shares of it.
+    Each rank has at each service a window of queries in progress. It is regulated by the queueing
+    delay that the service's dispatch process reports for the rank or, without a report of the last
+    2 s, by the ends of this process's own queries. A query starts if it fits into the windows of
+    all services that it needs. While windows are full, clients get weighted max-min shares.
     """
 
     def __init__(self, settings: AdmissionSettings) -> None:
@@ -137,146 +114,122 @@
         Args:
             settings: Limit of the process.
         """
-        self._max_queries = settings.max_queries
-        self._in_flight = 0
-        self._report_by_service: dict[tuple[str, str], _Report] = {}
-        self._lanes: OrderedDict[tuple[str, str, tuple[str, ...]], _RankLane] = OrderedDict()
-        self._use_by_rank: dict[_RankKey, _RankUse] = {}
+        self._process = ProcessLimit(max_queries=settings.max_queries)
+        self._services: dict[tuple[str, str], _Service] = {}
+        self._members: dict[tuple[str, str, str], _Member] = {}
+        self._shares_by_rank: dict[tuple[str, str], FairShare] = {}
+        self._lanes: OrderedDict[tuple[str, str, tuple[str, ...]], _Lane] = OrderedDict()
 
     def decide(self, query: QueryFacts, now: float) -> Admit | Refuse:
-        """Admits the query if its deadline, its lane and the process have room for it."""
+        """Admits the query if its deadline, its services and the process have room for it."""
         lane = self._lane(query)
-        use = self._rank_use(query)
-        self._control(lane, query, now)
-        refusal = self._past_deadline(lane, query, now) or self._lane_refusal(lane, query, now)
-        refusal = refusal or self._process_refusal(use, query, now)
+        self._refresh(lane, query, now)
+        refusal = self._past_deadline(lane, query) or self._window_refusal(lane, query, now)
         if refusal is not None:
             return refusal
-        lane.window.enter()
+        reason = self._process.refusal(query, now)
+        if reason is not None:
+            return Refuse(reason, _LEAST_RETRY_SECONDS)
+        for member in lane.members:
+            member.window.enter()
         lane.shares.accept(now)
-        use.shares.accept(now)
-        use.in_flight += 1
-        self._in_flight += 1
+        self._process.enter(query, now)
         return Admit(query)
 
     def on_load(self, load: ServiceLoad, now: float) -> None:
         """Keeps the newest report of a service."""
-        queue_seconds = {rank: ms / 1000.0 for rank, ms in load["queue_ms_by_rank"].items()}
-        self._report_by_service[load["environment"], load["service"]] = _Report(queue_seconds, now)
+        service = self._service(load["environment"], load["service"])
+        service.arrived = now
+        service.queue_seconds_by_rank = {
+            rank: milliseconds / 1000.0 for rank, milliseconds in load["queue_ms_by_rank"].items()
+        }
 
     def on_finished(
-        self, admitted: Admit, latency_seconds: float, outcome: Outcome, now: float
+        self,
+        admitted: Admit,
+        latency_seconds: float,
+        outcome: Outcome,
+        now: float,
+        queue_seconds: float | None = None,
     ) -> None:
         """Makes room and records what the query shows about the queues."""
         query = admitted.query
         lane = self._lane(query)
-        lane.window.leave()
-        lane.local.record(latency_seconds, outcome, now)
-        self._rank_use(query).in_flight -= 1
-        self._in_flight -= 1
-
-    def _lane(self, query: QueryFacts) -> _RankLane:
+        for member in lane.members:
+            member.window.leave()
+        lane.local.record(latency_seconds, queue_seconds, outcome, now)
+        self._process.leave(query)
+
+    def _service(self, environment: str, name: str) -> _Service:
+        service = self._services.get((environment, name))
+        if service is None:
+            service = self._services[environment, name] = _Service()
+        return service
+
+    def _lane(self, query: QueryFacts) -> _Lane:
         key = (query.environment, query.rank, tuple(query.services))
         lane = self._lanes.get(key)
-        if lane is None:
-            self._forget_lanes()
-            lane = self._lanes[key] = _RankLane()
-        else:
+        if lane is not None:
             self._lanes.move_to_end(key)
+            return lane
+        members = [self._member(query, name) for name in query.services]
+        shares = self._shares_by_rank.setdefault((query.environment, query.rank), FairShare())
+        lane = self._lanes[key] = _Lane(members, shares)
+        if len(self._lanes) > _MAX_LANES:
+            self._lanes.popitem(last=False)
         return lane
 
-    def _forget_lanes(self) -> None:
-        if len(self._lanes) < _MAX_LANES:
-            return
-        for key, lane in self._lanes.items():
-            if lane.window.in_flight == 0:
-                del self._lanes[key]
-                return
-
-    def _rank_use(self, query: QueryFacts) -> _RankUse:
-        key = (query.environment, query.rank)
-        use = self._use_by_rank.get(key)
-        if use is None:
-            use = self._use_by_rank[key] = _RankUse()
-        use.priority = query.priority
-        use.kept_share = query.kept_share
-        return use
-
-    def _longest(self, query: QueryFacts, now: float) -> _Delay | None:
-        longest: _Delay | None = None
-        for service in query.services:
-            report = self._report_by_service.get((query.environment, service))
-            if report is None or now - report.arrived > _MAX_REPORT_AGE_SECONDS:
-                continue
-            seconds = report.queue_seconds_by_rank.get(query.rank, 0.0)
-            if longest is None or seconds > longest.seconds:
-                longest = _Delay(seconds, report.arrived)
-        return longest
-
-    def _control(self, lane: _RankLane, query: QueryFacts, now: float) -> None:
+    def _member(self, query: QueryFacts, name: str) -> _Member:
+        key = (query.environment, name, query.rank)
+        member = self._members.get(key)
+        if member is None:
+            service = self._service(query.environment, name)
+            member = self._members[key] = _Member(service, query.rank)
+        return member
+
+    def _refresh(self, lane: _Lane, query: QueryFacts, now: float) -> None:
         if now - lane.refreshed < _REFRESH_SECONDS:
             return
         lane.refreshed = now
-        lane.delay = self._longest(query, now)
-        if now - lane.window.changed < _CONTROL_SECONDS:
-            return
-        # A report from before the last change does not show what the change did.
-        if lane.delay is not None and lane.delay.arrived <= lane.window.changed:
+        lane.expected_wait = max(
+            (member.expected_wait(now) for member in lane.members), default=0.0
+        )
+        if now - lane.controlled < _CONTROL_SECONDS:
             return
+        lane.controlled = now
         wanted = _WANTED_DELAY_SHARE * query.target_seconds
-        local_delay, late, overloaded = lane.local.take()
-        delay = lane.delay.seconds if lane.delay is not None else local_delay
-        if overloaded > 0.1 or (lane.delay is None and late > 0.1):
-            delay = max(delay or 0.0, 2.0 * wanted)
-        if delay is not None:
-            lane.window.change(delay, wanted, now)
+        local_delay = _local_delay(lane.local.take(), wanted)
+        for member in lane.members:
+            member.control(local_delay, wanted, now)
 
-    def _past_deadline(self, lane: _RankLane, query: QueryFacts, now: float) -> Refuse | None:
-        needed = lane.local.base or 0.0
-        if lane.delay is not None:
-            # The queue was shortened by at most its age since it was reported.
-            needed += max(0.0, lane.delay.seconds - (now - lane.delay.arrived))
+    def _past_deadline(self, lane: _Lane, query: QueryFacts) -> Refuse | None:
+        needed = lane.local.base + lane.expected_wait
         if needed <= query.remaining_seconds:
             return None
         return Refuse("deadline", _retry_after(needed - query.remaining_seconds))
 
-    def _lane_refusal(self, lane: _RankLane, query: QueryFacts, now: float) -> Refuse | None:
-        window = lane.window
-        shares = lane.shares
-        standing = shares.arrive(query.client, query.client_share, window.occupancy, now)
+    def _window_refusal(self, lane: _Lane, query: QueryFacts, now: float) -> Refuse | None:
+        fullest = max(
+            (member.window for member in lane.members),
+            key=lambda window: window.occupancy_after,
+            default=None,
+        )
+        if fullest is None or fullest.occupancy_after <= _CONGESTED_OCCUPANCY:
+            return None
+        shares, occupancy = lane.shares, fullest.in_flight / fullest.limit
+        standing = shares.arrive(query.client, query.client_share, occupancy, now)
         if standing is Standing.HELD_BACK:
             return Refuse("client_share", _retry_after(shares.retry_after(query.client)))
-        if window.has_room(_OVERDRAFT if standing is Standing.BELOW_SHARE else 1.0):
+        if fullest.occupancy_after <= (_OVERDRAFT if standing is Standing.BELOW_SHARE else 1.0):
             return None
         shares.full(now)
-        delay = lane.delay.seconds if lane.delay is not None else lane.local.base or 0.0
-        return Refuse("overloaded", _retry_after(delay))
-
-    def _process_refusal(self, use: _RankUse, query: QueryFacts, now: float) -> Refuse | None:
-        room = self._room(use)
-        occupancy = use.in_flight / max(use.in_flight + room, 1.0)
-        standing = use.shares.arrive(query.client, query.client_share, occupancy, now)
-        retry_after = _retry_after(use.shares.retry_after(query.client))
-        if standing is Standing.HELD_BACK:
-            return Refuse("client_share", retry_after)
-        if room >= 1.0:
-            return None
-        use.shares.full(now)
-        return Refuse("too_many_queries", retry_after)
-
-    def _room(self, use: _RankUse) -> float:
-        """Returns how many more queries of the rank the process may start."""
-        free = self._max_queries - self._in_flight
-        own = use.kept_share * self._max_queries - use.in_flight
-        if own >= 1.0:
-            return float(free)
-        others = [other for other in self._use_by_rank.values() if other is not use]
-        reserved = sum(
-            max(0.0, other.kept_share * self._max_queries - other.in_flight) for other in others
-        )
-        more_urgent = sum(other.priority < use.priority for other in others)
-        steps = min(more_urgent, _MAX_PRIORITY_STEPS)
-        return free - max(reserved, steps * _PRIORITY_STEP * self._max_queries)
+        return Refuse("overloaded", _retry_after(lane.expected_wait))
+
+
+def _local_delay(evidence: LocalEvidence, wanted: float) -> float | None:
+    if max(evidence.late_share, evidence.overloaded_share) > _OVERLOADED_SHARE:
+        return max(evidence.delay or 0.0, 2.0 * wanted)
+    return evidence.delay
 
 
 def _retry_after(seconds: float) -> float:
