--- a/filbertreach/dispatch/_exchange.py
+++ b/filbertreach/dispatch/_exchange.py
@@ -116,9 +116,15 @@
             body = await _read_body(response)
         finally:
             await response.aclose()
-    except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+    except (
+        httpcore.ConnectError,
+        httpcore.ConnectTimeout,
+        httpcore.ConnectionNotAvailable,
+    ) as error:
         raise LeafUnreachableError(message=f"{leaf.id} can't be connected to: {error}") from error
     except (httpcore.RemoteProtocolError, httpcore.LocalProtocolError) as error:
+        if "disconnected" in str(error):
+            raise LeafFailedError(message=f"{leaf.id}: {error}", started=True) from error
         raise InvalidResponseError(message=f"{leaf.id}: {error}", started=True) from error
     except (httpcore.NetworkError, httpcore.TimeoutException, OSError) as error:
         raise LeafFailedError(message=f"{leaf.id}: {error!r}", started=True) from error
--- /dev/null
+++ b/filbertreach/dispatch/_service.py
@@ -0,0 +1,591 @@
+"""The owner of one service: its queue, the choice of leaves, hedges and retries."""
+
+import itertools
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+import anyio
+import anyio.abc
+import httpcore
+
+from filbertreach.dispatch._errors import (
+    InvalidResponseError,
+    LeafCancelledError,
+    LeafError,
+    LeafRefusedError,
+    LeafReport,
+    LeafTimeoutError,
+    LeafUnreachableError,
+    VersionUnavailableError,
+)
+from filbertreach.dispatch._exchange import SearchBody, search
+from filbertreach.dispatch._hedging import HedgeBudget, HedgeDelay, may_hedge
+from filbertreach.dispatch._leaf import LeafOutcome, LeafTracker
+from filbertreach.dispatch._leaf_link import LeafLink
+from filbertreach.dispatch._metrics import (
+    CALL_RESULTS,
+    LEAF_CALLS,
+    LEAF_OUTCOMES,
+    LEAF_SECONDS,
+    QUEUE_SECONDS,
+)
+from filbertreach.dispatch._pending import Attempt, AttemptKind, PendingCall
+from filbertreach.dispatch._queue import QueuedCall, make_queue
+from filbertreach.dispatch._replicas import make_replica_policy
+from filbertreach.document import Environment, Service
+from filbertreach.observability import Tracing
+from filbertreach.schema import Answer, DispatchSection, Failure, ServiceLoad
+from filbertreach.timing import TimerService
+
+_POLL_SECONDS = 0.01
+"""While calls wait, leaves are looked at this often: probes and expiry need no other event."""
+_CANCEL_GRACE_SECONDS = 0.25
+"""A cancelled attempt whose leaf does not end it in this time costs its connection."""
+_DEADLINE_GRACE_SECONDS = 0.05
+"""Time for a leaf that gives up at the deadline to say so before its connection is closed."""
+_MOST_RETRY_LOOKUPS = 64
+"""Calls that wait for a second leaf and are looked at in one round."""
+_UNUSED_SECONDS = 30.0
+"""A service neither owned nor used for this long is closed."""
+
+Reply = Callable[[PendingCall, Answer | Failure], None]
+
+
+class ServiceSettings(NamedTuple):
+    """What the owner of a service is created with."""
+
+    environment: Environment
+    """Document in force."""
+    service: Service
+    """The service."""
+    dispatch: DispatchSection
+    """Settings of the process."""
+
+
+class ServiceOwner:
+    """Serves the calls of one service.
+
+    Calls wait in the ranked queue until a leaf has room and a connection is free; then the replica
+    policy chooses the leaf. All retries of the tier are made here, under one budget.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: ServiceSettings,
+        timers: TimerService,
+        tracing: Tracing,
+        reply: Reply,
+        is_owner: Callable[[], bool],
+    ) -> None:
+        """Prepares the owner; run it with `run`.
+
+        Args:
+            settings: Document, service and process settings.
+            timers: Timer service of the process.
+            tracing: Span exporter.
+            reply: Takes the result of each call.
+            is_owner: Whether this process owns the service by the current view.
+        """
+        self.environment = settings.environment
+        self.service = settings.service
+        self.last_used = timers.clock.now()
+        self._dispatch = settings.dispatch
+        self._timers = timers
+        self._clock = timers.clock
+        self._tracing = tracing
+        self._reply = reply
+        self.is_owner = is_owner
+        policy = settings.environment.policy
+        self._queue = make_queue(
+            policy=settings.dispatch["queue_policy"],
+            ranks=settings.environment.ranks_by_name,
+            max_length=settings.dispatch["max_queue"],
+        )
+        self._chooser = make_replica_policy(name=settings.dispatch["replica_policy"])
+        self._budget = HedgeBudget(share=policy.hedge_budget)
+        self._delay = HedgeDelay(quantile=policy.hedge_quantile)
+        self._link_by_leaf: dict[str, LeafLink] = {}
+        self._pending_by_key: dict[str, PendingCall] = {}
+        self._retries: list[PendingCall] = []
+        self._attempt_ids = itertools.count(1)
+        self._poll_due = False
+        self._group: anyio.abc.TaskGroup | None = None
+
+    # Life.
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        """Holds the connections of the service until cancelled or closed.
+
+        Args:
+            task_status: Told when calls can be accepted.
+        """
+        async with anyio.create_task_group() as group:
+            self._group = group
+            self._update_links()
+            task_status.started()
+            await anyio.sleep_forever()
+
+    def close(self) -> None:
+        """Ends the tasks of the service."""
+        if self._group is not None:
+            self._group.cancel_scope.cancel()
+
+    def is_unused(self, now: float) -> bool:
+        """Returns whether the service is owned elsewhere and has had no calls for long.
+
+        Args:
+            now: Clock now, in seconds.
+        """
+        idle = not self._pending_by_key and now - self.last_used > _UNUSED_SECONDS
+        return idle and not self.is_owner()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no call is waiting or running."""
+        return not self._pending_by_key
+
+    def update(self, environment: Environment) -> None:
+        """Takes over a newer generation of the document that still has the service.
+
+        Args:
+            environment: New document.
+        """
+        old = self.environment
+        self.environment = environment
+        self.service = environment.services_by_name[self.service.name]
+        if environment.policy.hedge_budget != old.policy.hedge_budget:
+            self._budget = HedgeBudget(share=environment.policy.hedge_budget)
+        if environment.policy.hedge_quantile != old.policy.hedge_quantile:
+            self._delay = HedgeDelay(quantile=environment.policy.hedge_quantile)
+        if environment.ranks_by_name != old.ranks_by_name:
+            waiting = self._queue.drain()
+            self._queue = make_queue(
+                policy=self._dispatch["queue_policy"],
+                ranks=environment.ranks_by_name,
+                max_length=self._dispatch["max_queue"],
+            )
+            for queued in waiting:
+                self._queue.push(queued)
+        self._update_links()
+
+    def set_leaving(self, *, host_list: frozenset[str], document: frozenset[str]) -> None:
+        """Takes over which leaves are leaving.
+
+        Args:
+            host_list: ip:port or ip of leaving backend servers by the platform's host list.
+            document: Ids of leaves that a planned change drains now.
+        """
+        now = self._clock.now()
+        for link in self._link_by_leaf.values():
+            address = link.leaf.address
+            listed = address in host_list or address.rsplit(":", 1)[0] in host_list
+            link.leaving("host_list", now, leaving=listed)
+            link.leaving("document", now, leaving=link.leaf.id in document)
+
+    def _update_links(self) -> None:
+        if self._group is None:
+            return
+        for leaf_id, link in list(self._link_by_leaf.items()):
+            new = self.service.leaf_by_id.get(leaf_id)
+            if new != link.leaf or self.service.pool != link.tracker.pool:
+                link.close()
+                del self._link_by_leaf[leaf_id]
+        for leaf in self.service.leaf_by_id.values():
+            if leaf.id in self._link_by_leaf:
+                continue
+            link = LeafLink(
+                tracker=LeafTracker(leaf=leaf, pool=self.service.pool),
+                serve=self._serve,
+                on_idle=self._pump,
+                is_owner=self.is_owner,
+                health_seconds=self._dispatch["health_interval_seconds"],
+                clock=self._clock,
+            )
+            self._link_by_leaf[leaf.id] = link
+            self._group.start_soon(link.run_until_closed, name=f"leaf {leaf.id}")
+
+    # Calls.
+
+    def accept(self, pending: PendingCall) -> None:
+        """Takes a call; its result is given to `reply` exactly once.
+
+        Args:
+            pending: The call.
+        """
+        self.last_used = self._clock.now()
+        self._pending_by_key[pending.key] = pending
+        client = self.environment.clients_by_name.get(pending.call["client"])
+        refused = self._queue.push(
+            QueuedCall(
+                call_id=pending.key,
+                rank=pending.call["rank"],
+                client=pending.call["client"],
+                client_share=client.share if client and client.share > 0 else 1.0,
+                enqueued_at=self._clock.now(),
+                deadline_at=pending.deadline_at,
+                payload=pending,
+            )
+        )
+        if refused is not None:
+            self._fail(refused.payload, "overloaded")
+        self._pump()
+
+    def cancel(self, key: str) -> None:
+        """Cancels a call that nobody waits for.
+
+        Args:
+            key: `PendingCall.key`.
+        """
+        pending = self._pending_by_key.get(key)
+        if pending is not None:
+            self._queue.remove(key)
+            self._fail(pending, "cancelled")
+
+    def cancel_all_of(self, reply_to: str) -> None:
+        """Cancels the calls of an entry process that was lost.
+
+        Args:
+            reply_to: ip:port of its inbox.
+        """
+        for key, pending in list(self._pending_by_key.items()):
+            if pending.reply_to == reply_to:
+                self.cancel(key)
+
+    def load(self) -> ServiceLoad:
+        """Returns the state of the queue for entry processes."""
+        now = self._clock.now()
+        throughput = self._throughput()
+        versions: set[int] = set()
+        for link in self._link_by_leaf.values():
+            versions |= link.known_versions(now) or frozenset()
+        return ServiceLoad(
+            environment=self.environment.name,
+            service=self.service.name,
+            queue_ms_by_rank={
+                rank: 1000.0 * self._queue.estimate_wait_seconds(rank, throughput)
+                for rank in self.environment.ranks_by_name
+            },
+            throughput_per_s=throughput,
+            versions=sorted(versions),
+        )
+
+    def _throughput(self) -> float:
+        """Calls a second that the usable leaves complete at their limits."""
+        total = 0.0
+        for link in self._link_by_leaf.values():
+            tracker = link.tracker
+            if tracker.state in ("ready", "starting") and tracker.mean_latency:
+                total += tracker.limit.limit / tracker.mean_latency
+        return total
+
+    # Sending.
+
+    def _pump(self) -> None:
+        """Sends waiting calls while a leaf has room; calls for a second leaf go first."""
+        now = self._clock.now()
+        for queued in self._queue.expire(now, 0.0):
+            self._fail(queued.payload, "deadline")
+        self._send_retries(now)
+        while len(self._queue):
+            if self._choose(self._link_by_leaf.values(), now) is None:
+                break
+            queued_call = self._queue.pop(now)
+            if queued_call is None:
+                break
+            self._send_first(queued_call.payload, now)
+        if (len(self._queue) or self._retries) and not self._poll_due:
+            self._poll_due = True
+            self._timers.at(now + _POLL_SECONDS, self._poll)
+
+    def _poll(self) -> None:
+        self._poll_due = False
+        self._pump()
+
+    def _send_retries(self, now: float) -> None:
+        kept: list[PendingCall] = []
+        for pending in self._retries:
+            if pending.done:
+                continue
+            if now >= pending.deadline_at:
+                self._fail(pending, "deadline")
+                continue
+            link = self._choose_for(pending, now) if len(kept) < _MOST_RETRY_LOOKUPS else None
+            if link is None:
+                kept.append(pending)
+            else:
+                self._send(pending, link, "retry" if pending.attempts else "first", now)
+        self._retries = kept
+
+    def _choose(self, links: Iterable[LeafLink], now: float) -> LeafLink | None:
+        trackers = [link.tracker for link in links if link.has_connection]
+        tracker = self._chooser.choose(trackers, now)
+        return None if tracker is None else self._link_by_leaf[tracker.leaf.id]
+
+    def _choose_for(self, pending: PendingCall, now: float) -> LeafLink | None:
+        version = pending.call["version"]
+        return self._choose(
+            [
+                link
+                for leaf_id, link in self._link_by_leaf.items()
+                if leaf_id not in pending.tried and link.may_serve(version, now)
+            ],
+            now,
+        )
+
+    def _send_first(self, pending: PendingCall, now: float) -> None:
+        rank = pending.call["rank"]
+        QUEUE_SECONDS.labels(self.environment.name, rank).observe(now - pending.received_at)
+        if not self._may_be_served(pending, now):
+            pending.last_reason = "version_unavailable"
+            self._fail(pending, "version_unavailable")
+            return
+        link = self._choose_for(pending, now)
+        if link is None:
+            self._retries.append(pending)
+        else:
+            self._send(pending, link, "first", now)
+
+    def _may_be_served(self, pending: PendingCall, now: float) -> bool:
+        version = pending.call["version"]
+        return any(
+            leaf_id not in pending.tried and link.may_serve(version, now)
+            for leaf_id, link in self._link_by_leaf.items()
+        )
+
+    def _send(self, pending: PendingCall, link: LeafLink, kind: AttemptKind, now: float) -> None:
+        call_id = f"{pending.key}/{next(self._attempt_ids)}".replace("/", "-")
+        attempt = Attempt(
+            call_id=call_id, pending=pending, tracker=link.tracker, kind=kind, started_at=now
+        )
+        pending.attempt_by_id[call_id] = attempt
+        pending.attempts += 1
+        pending.tried.add(link.leaf.id)
+        link.tracker.started(now)
+        LEAF_CALLS.labels(self.environment.name, kind).inc()
+        if pending.first_sent_at is None:
+            pending.first_sent_at = now
+            self._budget.first_call(slow=self._delay.is_slow)
+            self._delay.first_call()
+        if kind != "hedge":
+            self._plan_hedge(pending, now)
+        link.assign(attempt)
+
+    def _plan_hedge(self, pending: PendingCall, now: float) -> None:
+        delay = self._delay.seconds(pending.attempts)
+        if delay is not None and pending.call["idempotent"] and self._dispatch["hedge"]:
+            self._timers.at(now + delay, lambda: self._hedge(pending))
+
+    def _hedge(self, pending: PendingCall) -> None:
+        if pending.done or not pending.attempt_by_id:
+            return
+        now = self._clock.now()
+        allowed = may_hedge(
+            idempotent=pending.call["idempotent"],
+            attempts=pending.attempts,
+            max_attempts=self.environment.policy.max_attempts,
+            remaining_seconds=pending.deadline_at - now,
+            least=0.0,
+        )
+        if not allowed or not self._delay.overdue():
+            return
+        link = self._choose_for(pending, now)
+        if link is not None and self._budget.try_take():
+            self._send(pending, link, "hedge", now)
+
+    # One attempt, run by the task of its connection.
+
+    async def _serve(self, http: httpcore.AsyncHTTPConnection, attempt: Attempt) -> bool:
+        """Runs an attempt; returns whether the connection is still usable."""
+        pending = attempt.pending
+        remaining = pending.deadline_at - self._clock.now()
+        if pending.done or remaining <= 0:
+            self._ended(attempt, LeafOutcome.CANCELLED)
+            self._fail(pending, "deadline")
+            return True
+        body: SearchBody | None = None
+        error: LeafError | None = None
+        report: LeafReport | None = None
+        span = self._tracing.start(
+            "leaf", trace_parent=pending.span.trace_parent or "-00", leaf=attempt.tracker.leaf.id
+        )
+        attempt.scope.deadline = anyio.current_time() + remaining + _DEADLINE_GRACE_SECONDS
+        with span, attempt.scope:
+            try:
+                body, report = await search(
+                    connection=http,
+                    leaf=attempt.tracker.leaf,
+                    call=pending.call,
+                    call_id=attempt.call_id,
+                    remaining_seconds=remaining,
+                    trace_parent=span.trace_parent,
+                )
+            except LeafError as caught:
+                error, report = caught, caught.report
+                span.set("error", str(caught))
+        if report is not None:
+            self._learn(attempt, report)
+        if body is not None:
+            self._answered(attempt, body)
+            return True
+        if error is not None:
+            self._failed(attempt, error)
+            return report is not None
+        self._unanswered(attempt)
+        return False
+
+    def _learn(self, attempt: Attempt, report: LeafReport) -> None:
+        now = self._clock.now()
+        link = self._link_by_leaf.get(attempt.tracker.leaf.id)
+        if link is not None and report.state == "draining":
+            link.leaving("response", now, leaving=True)
+        if report.in_flight is not None and report.queued is not None:
+            attempt.tracker.reported(report.in_flight, report.queued, now)
+
+    def _ended(self, attempt: Attempt, outcome: LeafOutcome) -> float:
+        now = self._clock.now()
+        seconds = now - attempt.started_at
+        attempt.tracker.finished(outcome, seconds, now)
+        attempt.pending.attempt_by_id.pop(attempt.call_id, None)
+        LEAF_OUTCOMES.labels(self.environment.name, outcome.value).inc()
+        return seconds
+
+    def _answered(self, attempt: Attempt, body: SearchBody) -> None:
+        seconds = self._ended(attempt, LeafOutcome.OK)
+        LEAF_SECONDS.labels(self.environment.name).observe(seconds)
+        pending = attempt.pending
+        if pending.done:
+            return
+        now = self._clock.now()
+        assert pending.first_sent_at is not None
+        self._delay.record(now - pending.first_sent_at, now)
+        call = pending.call
+        self._finish(
+            pending,
+            Answer(
+                kind="answer",
+                call_id=call["call_id"],
+                query_id=call["query_id"],
+                shard=call["shard"],
+                version=call["version"],
+                rows=body["rows"],
+                leaf=attempt.tracker.leaf.id,
+                queue_ms=1000.0 * (pending.first_sent_at - pending.received_at),
+                leaf_ms=1000.0 * seconds,
+                attempts=pending.attempts,
+            ),
+        )
+
+    def _failed(self, attempt: Attempt, error: LeafError) -> None:
+        pending = attempt.pending
+        pending.may_have_started |= error.started
+        self._ended(attempt, _outcome(error))
+        now = self._clock.now()
+        link = self._link_by_leaf.get(attempt.tracker.leaf.id)
+        if isinstance(error, VersionUnavailableError) and link is not None:
+            link.version_refused(pending.call["version"], now)
+        if isinstance(error, LeafTimeoutError):
+            self._fail(pending, "deadline")
+            return
+        pending.last_reason = _reason(error)
+        self._retry_or_fail(pending, refused=not error.started)
+
+    def _unanswered(self, attempt: Attempt) -> None:
+        attempt.pending.may_have_started = True
+        if attempt.cancelled:
+            self._ended(attempt, LeafOutcome.CANCELLED)
+            return
+        self._ended(attempt, LeafOutcome.TIMEOUT)
+        self._fail(attempt.pending, "deadline")
+
+    def _retry_or_fail(self, pending: PendingCall, *, refused: bool) -> None:
+        """Sends a call once more, or fails it if no other attempt is running.
+
+        Args:
+            pending: The call.
+            refused: Whether the last attempt was proved not to have started.
+        """
+        if pending.done or pending.attempt_by_id:
+            return
+        now = self._clock.now()
+        may_run_again = pending.call["idempotent"] or not pending.may_have_started
+        allowed = (
+            may_run_again
+            and pending.attempts < self.environment.policy.max_attempts
+            and now < pending.deadline_at
+            and self._may_be_served(pending, now)
+            # A refused call cost the leaf next to nothing, so it takes nothing from the budget.
+            and (refused or self._budget.try_take())
+        )
+        if not allowed:
+            self._fail(pending, pending.last_reason)
+            return
+        self._retries.append(pending)
+        self._pump()
+
+    # Results.
+
+    def _fail(self, pending: PendingCall, reason: str) -> None:
+        if pending.done:
+            return
+        call = pending.call
+        started = pending.may_have_started or bool(pending.attempt_by_id)
+        self._finish(
+            pending,
+            Failure(
+                kind="failure",
+                call_id=call["call_id"],
+                query_id=call["query_id"],
+                shard=call["shard"],
+                reason=reason,  # type: ignore[typeddict-item]
+                started="unknown" if started else "no",
+                retry_after_ms=self._retry_after_ms(call["rank"]) if reason == "overloaded" else 0,
+                attempts=pending.attempts,
+            ),
+        )
+
+    def _retry_after_ms(self, rank: str) -> float:
+        return 1000.0 * min(10.0, self._queue.estimate_wait_seconds(rank, self._throughput()))
+
+    def _finish(self, pending: PendingCall, result: Answer | Failure) -> None:
+        pending.done = True
+        self._pending_by_key.pop(pending.key, None)
+        for attempt in list(pending.attempt_by_id.values()):
+            self._cancel_attempt(attempt)
+        outcome = "answer" if result["kind"] == "answer" else result["reason"]
+        CALL_RESULTS.labels(self.environment.name, pending.call["rank"], outcome).inc()
+        pending.span.set("result", outcome)
+        pending.span.set("attempts", pending.attempts)
+        pending.span.end()
+        self._reply(pending, result)
+
+    def _cancel_attempt(self, attempt: Attempt) -> None:
+        attempt.cancelled = True
+        attempt.scope.deadline = min(
+            attempt.scope.deadline, anyio.current_time() + _CANCEL_GRACE_SECONDS
+        )
+        link = self._link_by_leaf.get(attempt.tracker.leaf.id)
+        if link is not None:
+            link.cancel(attempt)
+
+
+def _outcome(error: LeafError) -> LeafOutcome:
+    if isinstance(error, LeafUnreachableError):
+        return LeafOutcome.CONNECTION_LOST
+    if isinstance(error, LeafCancelledError):
+        return LeafOutcome.CANCELLED
+    if isinstance(error, LeafTimeoutError):
+        return LeafOutcome.TIMEOUT
+    if isinstance(error, LeafRefusedError) and not error.started:
+        return LeafOutcome.REFUSED
+    return LeafOutcome.ERROR
+
+
+def _reason(error: LeafError) -> str:
+    if isinstance(error, VersionUnavailableError):
+        return "version_unavailable"
+    if isinstance(error, InvalidResponseError):
+        return "invalid_response"
+    if isinstance(error, LeafRefusedError):
+        return "overloaded"
+    return "leaf_failed"
--- /dev/null
+++ b/filbertreach/entry/_daemon.py
@@ -0,0 +1,489 @@
+"""The entry process: runs queries by sending their parts to dispatch processes."""
+
+import contextlib
+import itertools
+from types import TracebackType
+from typing import Self, cast
+
+import anyio
+import anyio.abc
+from returns.result import Success
+
+from filbertreach.document import Environment, Snapshot
+from filbertreach.entry._admission import Admit, Outcome, QueryFacts, Refuse, make_admission
+from filbertreach.entry._claims import ClaimTable
+from filbertreach.entry._gather import Gather, GatherResult, OutstandingCall
+from filbertreach.entry._merging import MergeError, make_merger
+from filbertreach.entry._metrics import IN_PROGRESS, OWNER_RESENDS, REFUSED
+from filbertreach.entry._platform_claims import ClaimTakenError, PlatformClaims
+from filbertreach.entry._problems import ProblemError
+from filbertreach.entry._request import Query, select_shards
+from filbertreach.entry._snapshots import SnapshotChooser
+from filbertreach.entry._waiting import ShardLatency, make_wait_policy
+from filbertreach.membership import ViewClient, owner_of
+from filbertreach.observability import Health, Span, Tracing, get_logger
+from filbertreach.platform import KeyValueClient
+from filbertreach.schema import Answer, Call, Cancel, Failure, Load, Settings
+from filbertreach.timing import TimerService
+from filbertreach.transport import Peer, Received, Transport
+
+_HEALTH_SECONDS = 0.25
+_LEAST_OVERHEAD_SECONDS = 0.001
+"""Time kept back from each deadline for the merge and the way back to the caller."""
+
+_LOGGER = get_logger(__name__)
+
+
+class QueryOutcome:
+    """Facts of a query that every answer carries, good or bad."""
+
+    def __init__(self, *, started_at: float) -> None:
+        """Starts without facts.
+
+        Args:
+            started_at: Clock when the request came, in seconds.
+        """
+        self.started_at = started_at
+        self.request_id: str | None = None
+        self.snapshot_version: int | None = None
+        self.result: GatherResult | None = None
+
+
+class EntryProcess:
+    """Runs the queries of callers."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        timers: TimerService,
+        tracing: Tracing,
+        health: Health,
+        incarnation: int,
+    ) -> None:
+        """Prepares the process; enter it to run queries.
+
+        Args:
+            settings: Checked settings.
+            timers: Timer service, entered before.
+            tracing: Span exporter.
+            health: Readiness, kept up to date.
+            incarnation: New for each process start.
+        """
+        process = settings["process"]
+        self.settings = settings
+        self.clock = timers.clock
+        self.tracing = tracing
+        self._timers = timers
+        self._health = health
+        self._incarnation = incarnation
+        self.transport = Transport(
+            name=process["name"],
+            address=process["inbox"],
+            incarnation=incarnation,
+            events=self,
+            clock=self.clock,
+        )
+        self.view = ViewClient(
+            process=process,
+            view=settings["view"],
+            role="entry",
+            transport=self.transport,
+            on_change=self._on_view,
+        )
+        platform = settings["platform"]
+        self._platform_claims = PlatformClaims(
+            client=KeyValueClient(
+                base_url=platform["key_value_url"],
+                timeout_seconds=platform["timeout_seconds"],
+                clock=self.clock,
+            ),
+            clock=self.clock,
+            process=process["name"],
+        )
+        self._admission = make_admission(
+            policy=settings["entry"]["admission"],
+            max_queries=settings["entry"]["max_queries"],
+            clock=self.clock,
+        )
+        self._snapshots = SnapshotChooser()
+        self._claims = ClaimTable()
+        self._latency_by_rank: dict[tuple[str, str], ShardLatency] = {}
+        self._gather_by_call: dict[str, Gather] = {}
+        self._call_numbers = itertools.count(1)
+        self._owners_by_service: dict[tuple[str, str], list[str]] = {}
+        self._running = 0
+        self._group: anyio.abc.TaskGroup | None = None
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        """Listens for results and takes the first view."""
+        await self._stack.__aenter__()
+        self._group = await self._stack.enter_async_context(anyio.create_task_group())
+        await self._stack.enter_async_context(self._platform_claims)
+        await self._stack.enter_async_context(self.transport)
+        await self._stack.enter_async_context(self.view)
+        self._timers.subscribe(
+            name="health", interval_seconds=_HEALTH_SECONDS, callback=self._update_health
+        )
+        self._on_view()
+        await self._update_health(0.0)
+        self.view.set_state("live")
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> bool | None:
+        """Closes the transport."""
+        assert self._group is not None
+        self._group.cancel_scope.cancel()
+        return await self._stack.__aexit__(kind, error, trace)
+
+    def stopping(self) -> None:
+        """Tells the fleet that this process leaves."""
+        self.view.set_state("leaving")
+
+    async def drain(self, seconds: float) -> None:
+        """Waits until no query is in progress.
+
+        Args:
+            seconds: Longest wait.
+        """
+        with anyio.move_on_after(seconds):
+            while self._running:
+                await anyio.sleep(0.02)
+            return
+        _LOGGER.warning("drain ended at its bound", seconds=seconds, queries=self._running)
+
+    # Queries.
+
+    async def run(self, query: Query, outcome: QueryOutcome, span: Span) -> GatherResult:
+        """Runs one query.
+
+        Args:
+            query: Checked query.
+            outcome: Filled in as facts become known, also if the query fails.
+            span: Span of this hop.
+
+        Returns:
+            The result.
+
+        Raises:
+            ProblemError: The query was refused before anything was sent.
+        """
+        environment = query.environment
+        now = self.clock.now()
+        if not self._claims.begin(environment.name, query.request_id, now):
+            raise ProblemError("request-id-in-use", "this process has or had this request id")
+        ran = False
+        self._running += 1
+        IN_PROGRESS.inc()
+        try:
+            gather = self._prepare(query, outcome, span)
+            admitted = self._admit(gather)
+            result = await self._run_admitted(gather, admitted, outcome)
+            ran = not result.not_run
+            return result
+        finally:
+            IN_PROGRESS.dec()
+            self._running -= 1
+            self._claims.end(environment.name, query.request_id, self.clock.now(), ran=ran)
+
+    def _prepare(self, query: Query, outcome: QueryOutcome, span: Span) -> Gather:
+        """Chooses the snapshot and sets up the query; nothing is sent yet."""
+        environment = query.environment
+
+        def services_of(snapshot: Snapshot) -> set[str]:
+            service_by_shard = environment.maps_by_name[snapshot.map_name]
+            return {service_by_shard[s] for s in select_shards(query, service_by_shard)}
+
+        snapshot = self._snapshots.choose(
+            environment=environment, services_of=services_of, now=self.clock.now()
+        )
+        if snapshot is None:
+            raise ProblemError("refused-not-run", "no snapshot of the environment is serving")
+        outcome.snapshot_version = snapshot.version
+        span.set("version", snapshot.version)
+        shards = select_shards(query, environment.maps_by_name[snapshot.map_name])
+        policy = environment.policy
+        max_rows = self.settings["entry"]["max_rows"]
+        merge = query.merge
+        try:
+            merger = make_merger(
+                kind=merge["kind"],
+                order_by=merge.get("order_by"),
+                descending=merge.get("descending", True),
+                limit=merge.get("limit", max_rows),
+                max_rows=max_rows,
+            )
+        except MergeError as error:
+            raise ProblemError("bad-request", str(error)) from error
+        deadline_at = outcome.started_at + query.deadline_seconds
+        latency = self._latency_by_rank.setdefault(
+            (environment.name, query.rank.name), ShardLatency()
+        )
+        wait = make_wait_policy(
+            kind=policy.wait,
+            shards_total=len(shards),
+            started=outcome.started_at,
+            target_seconds=query.rank.target_ms / 1000.0,
+            deadline=deadline_at - _LEAST_OVERHEAD_SECONDS,
+            least_coverage=policy.least_coverage,
+            latency=latency,
+        )
+        return Gather(
+            query=query,
+            snapshot=snapshot,
+            shards=shards,
+            merger=merger,
+            wait=wait,
+            deadline_at=deadline_at,
+            span=span,
+        )
+
+    def _admit(self, gather: Gather) -> Admit:
+        query = gather.query
+        environment = query.environment
+        service_by_shard = environment.maps_by_name[gather.snapshot.map_name]
+        services = tuple(dict.fromkeys(service_by_shard[shard] for shard in gather.shards))
+        client = environment.clients_by_name.get(query.client)
+        now = self.clock.now()
+        decision = self._admission.decide(
+            QueryFacts(
+                environment=environment.name,
+                rank=query.rank.name,
+                priority=query.rank.priority,
+                client=query.client,
+                client_share=client.share if client and client.share > 0 else 1.0,
+                services=services,
+                remaining_seconds=gather.deadline_at - now,
+                target_seconds=query.rank.target_ms / 1000.0,
+                kept_share=query.rank.kept_share,
+            ),
+            now,
+        )
+        if isinstance(decision, Refuse):
+            REFUSED.labels(environment.name, query.rank.name, decision.reason).inc()
+            raise ProblemError(
+                "refused-not-run",
+                f"refused before anything was run: {decision.reason}",
+                retry_after_seconds=decision.retry_after_seconds,
+            )
+        return decision
+
+    async def _run_admitted(
+        self, gather: Gather, admitted: Admit, outcome: QueryOutcome
+    ) -> GatherResult:
+        started_at = self.clock.now()
+        ended: Outcome = "failed"
+        claim_key: str | None = None
+        try:
+            claim_key = await self._claim(gather.query)
+            self._scatter(gather)
+            await gather.wait(self.clock.now)
+            outcome.result = result = gather.finish()
+            ended = _outcome(gather, result)
+            if claim_key is not None and result.not_run:
+                await self._platform_claims.release(claim_key)
+            return result
+        finally:
+            self._abandon(gather)
+            now = self.clock.now()
+            self._admission.on_finished(admitted, now - started_at, ended, now)
+
+    async def _claim(self, query: Query) -> str | None:
+        """Claims the request id of a request that must run at most once."""
+        if query.idempotent or query.application.repeat_protection == "none":
+            return None
+        claimed = await self._platform_claims.claim(
+            environment=query.environment.name, request_id=query.request_id
+        )
+        if isinstance(claimed, Success):
+            return str(claimed.unwrap())
+        error = claimed.failure()
+        if isinstance(error, ClaimTakenError):
+            raise ProblemError(
+                "request-id-in-use",
+                "the request id was claimed before, here or through another entry process; the "
+                "first request may have run",
+            )
+        raise ProblemError(
+            "refused-not-run",
+            f"the platform did not confirm that the request id is new: {error}",
+            retry_after_seconds=1.0,
+        )
+
+    def _scatter(self, gather: Gather) -> None:
+        """Sends the call of each shard to the owner of its service."""
+        now = self.clock.now()
+        if now >= gather.deadline_at:
+            # The process may have been paused since the request came.
+            raise ProblemError("deadline-passed", "the deadline passed before anything was sent")
+        service_by_shard = gather.query.environment.maps_by_name[gather.snapshot.map_name]
+        for shard in gather.shards:
+            self._send_call(gather, shard, service_by_shard[shard], exclude=None)
+
+    def _send_call(self, gather: Gather, shard: str, service: str, *, exclude: str | None) -> None:
+        query = gather.query
+        now = self.clock.now()
+        address = self._owner_address(query.environment, service, exclude=exclude)
+        if address is None:
+            gather.not_sent(shard, now)
+            return
+        call_id = f"{next(self._call_numbers):x}"
+        call = Call(
+            kind="call",
+            call_id=call_id,
+            query_id=query.request_id,
+            environment=query.environment.name,
+            generation=query.environment.generation,
+            service=service,
+            shard=shard,
+            version=gather.snapshot.version,
+            rank=query.rank.name,
+            client=query.client,
+            application=query.application.name,
+            idempotent=query.idempotent,
+            remaining_ms=max(0.0, 1000.0 * (gather.deadline_at - now - _LEAST_OVERHEAD_SECONDS)),
+            trace_parent=gather.span.trace_parent,
+            body=query.body,
+        )
+        if not self.transport.send(address=address, message=call):
+            gather.not_sent(shard, now)
+            return
+        gather.sent(OutstandingCall(call_id, shard, service, address, exclude is not None))
+        self._gather_by_call[call_id] = gather
+
+    def _owner_address(
+        self, environment: Environment, service: str, *, exclude: str | None
+    ) -> str | None:
+        """Returns the inbox of the first reachable dispatch process in the order of ownership."""
+        key = (environment.name, service)
+        order = self._owners_by_service.get(key)
+        if order is None:
+            leaves = environment.services_by_name[service].leaf_by_id.values()
+            members = owner_of(
+                environment=environment.name,
+                service_name=service,
+                service_regions=[leaf.region for leaf in leaves],
+                candidates=self.view.members,
+            )
+            order = self._owners_by_service[key] = [member["address"] for member in members]
+        for address in order:
+            if address != exclude and self.transport.is_reachable(address):
+                return address
+        return None
+
+    def _abandon(self, gather: Gather) -> None:
+        """Cancels the calls of a query that has ended."""
+        for call in gather.outstanding_by_id.values():
+            self._gather_by_call.pop(call.call_id, None)
+            self.transport.send(
+                address=call.address, message=Cancel(kind="cancel", call_id=call.call_id)
+            )
+        gather.outstanding_by_id.clear()
+
+    # Events of the transport.
+
+    def on_message(self, received: Received) -> None:
+        """Handles one message; see `PeerEvents`."""
+        message = received.message
+        match message.get("kind"):
+            case "answer":
+                self._on_answer(received.address, cast(Answer, message))
+            case "failure":
+                self._on_failure(received.address, cast(Failure, message))
+            case "load":
+                self._on_load(cast(Load, message))
+            case "view":
+                self.view.on_view(received)
+            case "heartbeat" | "hello":
+                pass
+            case other:
+                _LOGGER.warning("message dropped", kind=other, sender=received.sender)
+
+    def on_peer_lost(self, peer: Peer) -> None:
+        """Moves idempotent calls of a lost dispatch process to another one; see `PeerEvents`."""
+        lost = [
+            (gather, call)
+            for gather in {id(g): g for g in self._gather_by_call.values()}.values()
+            for call in list(gather.outstanding_by_id.values())
+            if call.address == peer.address
+        ]
+        for gather, call in lost:
+            self._gather_by_call.pop(call.call_id, None)
+            # A call is moved once, so that entry processes never multiply the retries of owners.
+            if gather.query.idempotent and not call.resent:
+                gather.outstanding_by_id.pop(call.call_id)
+                OWNER_RESENDS.labels(gather.query.environment.name).inc()
+                self._send_call(gather, call.shard, call.service, exclude=peer.address)
+            else:
+                gather.on_owner_lost(call, self.clock.now())
+
+    def _on_answer(self, address: str, answer: Answer) -> None:
+        gather = self._take(address, answer["call_id"])
+        if gather is not None:
+            gather.on_answer(answer, self.clock.now())
+
+    def _on_failure(self, address: str, failure: Failure) -> None:
+        gather = self._take(address, failure["call_id"])
+        if gather is None:
+            return
+        now = self.clock.now()
+        call = gather.outstanding_by_id[failure["call_id"]]
+        if failure["reason"] == "version_unavailable":
+            self._snapshots.on_version_unavailable(
+                gather.query.environment.name, call.service, gather.snapshot.version, now
+            )
+        if failure["reason"] == "owner_lost" and failure["started"] == "no" and not call.resent:
+            # The dispatch process does not have the document yet; another one may.
+            gather.outstanding_by_id.pop(call.call_id)
+            self._send_call(gather, call.shard, call.service, exclude=address)
+            return
+        gather.on_failure(failure, now)
+
+    def _take(self, address: str, call_id: str) -> Gather | None:
+        gather = self._gather_by_call.get(call_id)
+        if gather is None or gather.outstanding_by_id[call_id].address != address:
+            return None
+        return self._gather_by_call.pop(call_id)
+
+    def _on_load(self, load: Load) -> None:
+        now = self.clock.now()
+        for service in load["services"]:
+            self._admission.on_load(service, now)
+            self._snapshots.on_load(service, now)
+
+    # View and health.
+
+    def _on_view(self) -> None:
+        self._owners_by_service.clear()
+        addresses = {m["address"] for m in self.view.members if m["role"] == "dispatch"}
+        agent = self.settings["view"].get("agent", "")
+        self.transport.keep(addresses | ({agent} if agent else set()))
+
+    async def _update_health(self, _pause: float) -> None:
+        names = self.view.environment_by_name
+        usable = any(self.view.usable(name) for name in names)
+        self._health.set("view", "" if usable else "no usable environment document")
+        reachable = any(
+            self.transport.is_reachable(member["address"])
+            for member in self.view.members
+            if member["role"] == "dispatch"
+        )
+        self._health.set("dispatch", "" if reachable else "no dispatch process is reachable")
+
+
+def _outcome(gather: Gather, result: GatherResult) -> Outcome:
+    if gather.cancelled:
+        return "cancelled"
+    if result.included:
+        return "answered"
+    if result.overloaded:
+        return "overloaded"
+    return (
+        "late" if any(s["reason"] == "deadline" for s in result.coverage["lacking"]) else "failed"
+    )
--- /dev/null
+++ b/filbertreach/entry/_request.py
@@ -0,0 +1,236 @@
+"""Parses a caller's request and checks it against the environment document."""
+
+import hashlib
+import hmac
+from typing import Annotated, Any, Literal, NamedTuple, NotRequired, TypedDict
+
+import msgspec
+
+from filbertreach.document import Application, Environment, Rank
+from filbertreach.entry._problems import ProblemError
+from filbertreach.observability import is_trace_parent
+
+_NAME = r"^[A-Za-z0-9._:@-]{1,128}$"
+_UNIQUE_HEADERS = (
+    b"authorization",
+    b"content-length",
+    b"content-type",
+    b"host",
+    b"traceparent",
+)
+
+Name = Annotated[str, msgspec.Meta(pattern=_NAME)]
+
+
+class MergeBody(TypedDict):
+    """How rows are merged."""
+
+    kind: Literal["top", "concatenate"]
+    """top: ordered, the first `limit` rows; concatenate: rows in the order of shards."""
+    order_by: NotRequired[str]
+    """Column that `top` orders by."""
+    descending: NotRequired[bool]
+    """Whether the greatest value comes first; true by default."""
+    limit: NotRequired[Annotated[int, msgspec.Meta(ge=1)]]
+    """Most rows in the answer; the process's limit by default."""
+
+
+class QueryBody(TypedDict):
+    """Body of `POST /v1/query`."""
+
+    environment: Name
+    """Environment name."""
+    application: Name
+    """Application name."""
+    client: Name
+    """Client on whose behalf the query is sent."""
+    rank: Name
+    """Rank name."""
+    deadline_ms: Annotated[float, msgspec.Meta(gt=0)]
+    """Time in which the answer is needed, in milliseconds."""
+    idempotent: NotRequired[bool]
+    """False if the request must run at most once; true by default."""
+    request_id: Name
+    """Caller's id of this request, unique within the environment."""
+    query: dict[str, Any]
+    """Query passed on to the leaves."""
+    shards: NotRequired[list[Name]]
+    """Shards to query; all that the application may query by default."""
+    merge: NotRequired[MergeBody]
+    """How rows are merged; concatenated by default."""
+
+
+class Query(NamedTuple):
+    """A request that the environment's document allows."""
+
+    environment: Environment
+    """Document in force when the request came."""
+    application: Application
+    """Sending application."""
+    rank: Rank
+    """Rank."""
+    client: str
+    """Client on whose behalf the query is sent."""
+    request_id: str
+    """Caller's id of this request."""
+    idempotent: bool
+    """False if the request must run at most once."""
+    deadline_seconds: float
+    """Time from arrival in which the answer is needed."""
+    body: dict[str, Any]
+    """Query passed on to the leaves."""
+    shards: tuple[str, ...] | None
+    """Shards that the caller named, or None for all that the application may query."""
+    merge: MergeBody
+    """How rows are merged."""
+    trace_parent: str
+    """W3C traceparent of the caller, or an empty string."""
+
+
+class Headers(NamedTuple):
+    """Headers of a request that matter here."""
+
+    trace_parent: str
+    """Valid W3C traceparent, or an empty string."""
+    bearer_token: str
+    """Token of an `authorization: Bearer` header, or an empty string."""
+
+
+_DECODER = msgspec.json.Decoder(QueryBody)
+
+
+def parse_headers(raw: list[tuple[bytes, bytes]]) -> Headers:
+    """Checks the headers of a request.
+
+    Args:
+        raw: ASGI headers, names in lower case.
+
+    Returns:
+        The headers that matter.
+
+    Raises:
+        ProblemError: A header that may occur once occurs twice, or is not valid.
+    """
+    value_by_name: dict[bytes, bytes] = {}
+    for name, value in raw:
+        if name in _UNIQUE_HEADERS and name in value_by_name:
+            raise ProblemError("bad-request", f"the header {name.decode()} is sent twice")
+        value_by_name[name] = value
+    content_type = value_by_name.get(b"content-type", b"application/json")
+    if content_type.split(b";")[0].strip().lower() != b"application/json":
+        raise ProblemError("bad-request", "send content-type: application/json", status=415)
+    authorization = value_by_name.get(b"authorization", b"").decode("latin-1")
+    token = authorization[7:].strip() if authorization.lower().startswith("bearer ") else ""
+    # W3C Trace Context, 2.2: an invalid traceparent is ignored and a new trace is started.
+    trace_parent = value_by_name.get(b"traceparent", b"").decode("latin-1").strip()
+    return Headers(trace_parent if is_trace_parent(trace_parent) else "", token)
+
+
+def parse_body(content: bytes) -> QueryBody:
+    """Parses the body of a request.
+
+    Args:
+        content: The whole body.
+
+    Returns:
+        The body with checked types.
+
+    Raises:
+        ProblemError: The body is not JSON or a field is missing or not allowed.
+    """
+    try:
+        return _DECODER.decode(content)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ProblemError("bad-request", f"the body is not a query: {error}") from error
+
+
+def check_query(
+    *, body: QueryBody, headers: Headers, environment: Environment, max_deadline_ms: float
+) -> Query:
+    """Checks a request against the environment document.
+
+    Args:
+        body: Parsed body.
+        headers: Parsed headers.
+        environment: Document in force.
+        max_deadline_ms: Largest deadline, in milliseconds.
+
+    Returns:
+        The query.
+
+    Raises:
+        ProblemError: The document does not know or allow something that the request names.
+    """
+    application = environment.applications_by_name.get(body["application"])
+    if application is None:
+        detail = f"environment {environment.name} has no application {body['application']}"
+        raise ProblemError("unknown-application", detail)
+    _check_token(application, headers.bearer_token)
+    rank = environment.ranks_by_name.get(body["rank"])
+    if rank is None:
+        allowed = ", ".join(application.ranks)
+        raise ProblemError("bad-request", f"unknown rank {body['rank']}; allowed: {allowed}")
+    if rank.name not in application.ranks:
+        allowed = ", ".join(application.ranks)
+        detail = f"{application.name} may not use rank {rank.name}; allowed: {allowed}"
+        raise ProblemError("forbidden", detail)
+    if not application.may_query_for(body["client"]):
+        detail = f"{application.name} may not query for client {body['client']}"
+        raise ProblemError("forbidden", detail)
+    if not body["deadline_ms"] <= max_deadline_ms:
+        detail = f"deadline_ms is {body['deadline_ms']:g}; allowed: up to {max_deadline_ms:g}"
+        raise ProblemError("bad-request", detail)
+    shards = body.get("shards")
+    if shards is not None and len(set(shards)) != len(shards):
+        raise ProblemError("bad-request", "a shard is named twice")
+    return Query(
+        environment=environment,
+        application=application,
+        rank=rank,
+        client=body["client"],
+        request_id=body["request_id"],
+        idempotent=body.get("idempotent", True),
+        deadline_seconds=body["deadline_ms"] / 1000.0,
+        body=body["query"],
+        shards=None if shards is None else tuple(shards),
+        merge=body.get("merge", MergeBody(kind="concatenate")),
+        trace_parent=headers.trace_parent,
+    )
+
+
+def select_shards(query: Query, service_by_shard: dict[str, str]) -> tuple[str, ...]:
+    """Returns the shards of a query in one partition map.
+
+    Args:
+        query: The query.
+        service_by_shard: Partition map of the pinned snapshot.
+
+    Returns:
+        Shard names in the order of the map, at least one.
+
+    Raises:
+        ProblemError: A named shard is not in the map or not allowed, or none is allowed.
+    """
+    application = query.application
+    if query.shards is None:
+        shards = tuple(s for s in service_by_shard if application.may_query_shard(s))
+        if not shards:
+            raise ProblemError("forbidden", f"{application.name} may query no shard of the map")
+        return shards
+    for shard in query.shards:
+        if not application.may_query_shard(shard):
+            raise ProblemError("forbidden", f"{application.name} may not query shard {shard}")
+        if shard not in service_by_shard:
+            raise ProblemError("bad-request", f"the index has no shard {shard}")
+    if not query.shards:
+        raise ProblemError("bad-request", "shards is empty; name a shard or leave it out")
+    return query.shards
+
+
+def _check_token(application: Application, token: str) -> None:
+    if not application.token_sha256:
+        return
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    if not hmac.compare_digest(digest, application.token_sha256):
+        detail = f"send the token of application {application.name} as authorization: Bearer"
+        raise ProblemError("forbidden", detail)
--- /dev/null
+++ b/filbertreach_standins/fleet.py
@@ -0,0 +1,386 @@
+"""A whole local fleet as processes on loopback: stand-ins, dispatch and entry processes."""
+
+import contextlib
+import http.client
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from types import TracebackType
+from typing import Any, NamedTuple, Self
+
+from filbertreach_standins._process import StandInControl, StandInProcess
+
+READY_SECONDS = 60.0
+"""Longest wait for a daemon to become ready; starting many processes takes a few seconds."""
+_STOP_SECONDS = 30.0
+_ROOT = pathlib.Path(__file__).parent.parent
+
+
+class FleetError(Exception):
+    """A process of the fleet did not start or did not become ready."""
+
+
+class FleetOptions(NamedTuple):
+    """Size and behaviour of a local fleet."""
+
+    services: int = 10
+    """Number of services; each serves one shard."""
+    leaves_per_service: int = 2
+    """Leaves of each service."""
+    slots: int = 2
+    """Calls that a leaf runs at once."""
+    connections: int = 12
+    """Connections that a leaf accepts."""
+    connect_cost_ms: float = 6.0
+    """Cost of a new connection, in milliseconds."""
+    service_ms: float = 2.0
+    """Time of a call at a leaf, in milliseconds."""
+    versions: tuple[int, ...] = (41,)
+    """Index versions that leaves serve; all are serving in the document."""
+    leaf_processes: int = 2
+    """Processes that the leaves are spread over."""
+    dispatchers: int = 2
+    """Dispatch processes."""
+    entries: int = 1
+    """Entry processes."""
+    wait: str = "deadline"
+    """Wait policy of the environment."""
+    settings: dict[str, dict[str, str]] = {}
+    """Additional settings by option by section, for entry and dispatch processes."""
+    policy: dict[str, str] = {}
+    """Additional options of the document's section [policy]."""
+    leaf: dict[str, Any] = {}
+    """Additional properties of the leaves."""
+
+
+def free_address() -> str:
+    """Returns an ip:port on loopback that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class DaemonProcess:
+    """One of our daemons as a process; a context manager that stops it gracefully."""
+
+    def __init__(
+        self, *, program: str, name: str, folder: pathlib.Path, settings: dict[str, dict[str, str]]
+    ) -> None:
+        """Writes the settings file.
+
+        Args:
+            program: entry, dispatch or agent.
+            name: Process name.
+            folder: Folder of settings and log files.
+            settings: Values by option by section; addresses are filled in.
+        """
+        self.program = program
+        self.name = name
+        self.inbox = free_address()
+        self.http = free_address()
+        self.log = folder / f"{name}.log"
+        self._settings_file = folder / f"{name}.ini"
+        self._process: subprocess.Popen[bytes] | None = None
+        process = {
+            "name": name,
+            "host": name,
+            "region": "minho",
+            "data_centre": "minho-1",
+            "inbox": self.inbox,
+            "http": self.http,
+        }
+        self.settings = {**settings, "process": {**process, **settings.get("process", {})}}
+
+    def write_settings(self) -> None:
+        """Writes the settings file again after `settings` was changed."""
+        lines: list[str] = []
+        for section, options in self.settings.items():
+            lines.append(f"[{section}]")
+            lines += [f"{option} = {value}" for option, value in options.items()]
+        self._settings_file.write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+    def start(self) -> None:
+        """Starts the process without waiting for it."""
+        self.write_settings()
+        with self.log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    f"filbertreach.{self.program}",
+                    "--settings",
+                    str(self._settings_file),
+                ],
+                stdout=log,
+                stderr=log,
+                cwd=_ROOT,
+            )
+
+    def wait_ready(self) -> None:
+        """Waits until `/readyz` answers 200.
+
+        Raises:
+            FleetError: The process ended or did not become ready.
+        """
+        until = time.monotonic() + READY_SECONDS
+        while time.monotonic() < until:
+            assert self._process is not None
+            if self._process.poll() is not None:
+                raise FleetError(f"{self.name} ended: {self.log.read_text()[-2000:]}")
+            with contextlib.suppress(OSError):
+                if self.get("/readyz")[0] == 200:
+                    return
+            time.sleep(0.02)
+        raise FleetError(f"{self.name} did not become ready: {self.log.read_text()[-2000:]}")
+
+    def get(self, path: str) -> tuple[int, bytes]:
+        """Sends a GET request to the HTTP interface.
+
+        Args:
+            path: Path.
+
+        Returns:
+            Status and body.
+        """
+        return self.request("GET", path)
+
+    def request(
+        self, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
+    ) -> tuple[int, bytes]:
+        """Sends a request on a connection of its own.
+
+        Args:
+            method: HTTP method.
+            path: Path.
+            body: Body.
+            headers: Headers.
+
+        Returns:
+            Status and body.
+        """
+        host, port = self.http.split(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=READY_SECONDS)
+        try:
+            connection.request(method, path, body or None, headers or {})
+            response = connection.getresponse()
+            return response.status, response.read()
+        finally:
+            connection.close()
+
+    def query(self, body: dict[str, Any], headers: dict[str, str] | None = None) -> Any:
+        """Sends a query.
+
+        Args:
+            body: Body of `POST /v1/query`.
+            headers: Headers.
+
+        Returns:
+            Status and decoded body.
+        """
+        status, content = self.request(
+            "POST",
+            "/v1/query",
+            json.dumps(body).encode(),
+            {"content-type": "application/json", **(headers or {})},
+        )
+        return status, json.loads(content)
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process."""
+        assert self._process is not None
+        self._process.send_signal(number)
+
+    @property
+    def process_id(self) -> int:
+        """Process id."""
+        assert self._process is not None
+        return self._process.pid
+
+    def cpu_seconds(self) -> float:
+        """Returns user and system time of the process so far."""
+        fields = (
+            pathlib.Path(f"/proc/{self.process_id}/stat").read_text().rsplit(") ", 1)[1].split()
+        )
+        return (int(fields[11]) + int(fields[12])) / 100.0
+
+    def wait_stopped(self) -> int:
+        """Waits for the end of the process and returns its exit code."""
+        assert self._process is not None
+        return self._process.wait(_STOP_SECONDS)
+
+    def stop(self) -> int:
+        """Stops the process gracefully and returns its exit code."""
+        if self._process is None or self._process.poll() is not None:
+            return 0 if self._process is None else self._process.returncode
+        self._process.send_signal(signal.SIGCONT)
+        self._process.terminate()
+        try:
+            return self.wait_stopped()
+        except subprocess.TimeoutExpired:
+            self._process.kill()
+            return self._process.wait()
+
+    def kill(self) -> None:
+        """Kills the process."""
+        assert self._process is not None
+        self._process.kill()
+        self._process.wait()
+
+
+class Fleet:
+    """Leaves, dispatch and entry processes with a fixed view; a context manager."""
+
+    def __init__(self, *, options: FleetOptions, folder: pathlib.Path | None = None) -> None:
+        """Prepares a fleet.
+
+        Args:
+            options: Size and behaviour.
+            folder: Folder for settings and logs; a temporary one by default.
+        """
+        self.options = options
+        self._stack = contextlib.ExitStack()
+        self._folder = folder
+        self.leaves_by_id: dict[str, StandInControl] = {}
+        self.dispatchers: list[DaemonProcess] = []
+        self.entries: list[DaemonProcess] = []
+        self.document = ""
+
+    def __enter__(self) -> Self:
+        """Starts all processes and waits until they are ready."""
+        try:
+            self._start()
+        except BaseException:
+            self._stack.close()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stops all processes, entry processes first."""
+        self._stack.close()
+
+    @property
+    def folder(self) -> pathlib.Path:
+        """Folder of settings and logs."""
+        assert self._folder is not None
+        return self._folder
+
+    def shards(self) -> list[str]:
+        """Returns the shard names."""
+        return [f"fleet-{number}" for number in range(self.options.services)]
+
+    def query_body(self, request_id: str, **changes: Any) -> dict[str, Any]:
+        """Returns the body of a query that the document allows.
+
+        Args:
+            request_id: Request id.
+            **changes: Fields to change.
+        """
+        body = {
+            "environment": "local",
+            "application": "counter",
+            "client": "hotel-azul",
+            "rank": "booking",
+            "deadline_ms": 2000,
+            "request_id": request_id,
+            "query": {"rows": 2},
+        }
+        return {**body, **changes}
+
+    def _start(self) -> None:
+        if self._folder is None:
+            self._folder = pathlib.Path(
+                self._stack.enter_context(tempfile.TemporaryDirectory(prefix="filbertreach-"))
+            )
+        self._start_leaves()
+        self.document = self.make_document()
+        document_file = self.folder / "document.ini"
+        document_file.write_text(self.document, encoding="utf-8")
+        self.dispatchers = [
+            self._daemon("dispatch", f"dispatch-{number}")
+            for number in range(self.options.dispatchers)
+        ]
+        self.entries = [
+            self._daemon("entry", f"entry-{number}") for number in range(self.options.entries)
+        ]
+        members = [f"{d.name} dispatch {d.inbox} minho minho-1" for d in self.dispatchers]
+        for daemon in [*self.dispatchers, *self.entries]:
+            daemon.settings["view"] = {
+                "documents": str(document_file),
+                "members": "\n    ".join(["", *members]),
+            }
+            self._stack.callback(daemon.stop)
+            daemon.start()
+        for daemon in [*self.dispatchers, *self.entries]:
+            daemon.wait_ready()
+
+    def _daemon(self, program: str, name: str) -> DaemonProcess:
+        settings = {section: dict(values) for section, values in self.options.settings.items()}
+        return DaemonProcess(program=program, name=name, folder=self.folder, settings=settings)
+
+    def _start_leaves(self) -> None:
+        definitions = [
+            {
+                "leaf_id": f"fleet-{service}-{letter}",
+                "slots": self.options.slots,
+                "connections": self.options.connections,
+                "connect_cost_ms": self.options.connect_cost_ms,
+                "service_ms": self.options.service_ms,
+                "versions": list(self.options.versions),
+                "shards": [f"fleet-{service}"],
+                **self.options.leaf,
+            }
+            for service in range(self.options.services)
+            for letter in "abcdefgh"[: self.options.leaves_per_service]
+        ]
+        count = min(self.options.leaf_processes, len(definitions))
+        for number in range(count):
+            config = self.folder / f"leaves-{number}.json"
+            config.write_text(json.dumps(definitions[number::count]), encoding="utf-8")
+            process = self._stack.enter_context(
+                StandInProcess(module="leaf", arguments=["--config", str(config)])
+            )
+            self.leaves_by_id.update({control.id: control for control in process.controls})
+
+    def make_document(self, name: str = "local") -> str:
+        """Returns the environment document of the running leaves.
+
+        Args:
+            name: Environment name.
+        """
+        options = self.options
+        parts = [
+            f"[environment]\nname = {name}\n",
+            "[policy]",
+            f"wait = {options.wait}",
+            *(f"{key} = {value}" for key, value in options.policy.items()),
+            f"[pool counter]\nslots = {options.slots}\nconnections = {options.connections}",
+            f"connect_cost_ms = {options.connect_cost_ms:g}",
+        ]
+        for shard in self.shards():
+            leaves = [
+                f"    {leaf_id} {control.address} minho/minho-1"
+                for leaf_id, control in self.leaves_by_id.items()
+                if leaf_id.rsplit("-", 1)[0] == shard
+            ]
+            parts += [f"[service {shard}]", "pool = counter", "leaves =", *leaves]
+        parts += ["[map one]", "shards =", *(f"    {s} {s}" for s in self.shards())]
+        for version in options.versions:
+            parts.append(f"[snapshot {version}]\nmap = one\nstate = serving")
+        parts += [
+            "[rank booking]\npriority = 0\ntarget_ms = 90\nworth = 100\nkept_share = 0.2",
+            "[rank search]\npriority = 1\ntarget_ms = 250\nworth = 10\nkept_share = 0.2",
+            "[rank invoicing]\npriority = 2\ntarget_ms = 2000\nworth = 1\nkept_share = 0.1",
+            "[application counter]\nshards = fleet-*\nranks = booking search invoicing",
+            "[application workshop-7]\nshards = fleet-0\nranks = search",
+        ]
+        return "\n".join(parts) + "\n"
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,74 @@
+"""Guards the whole path through real processes: wrong, partial or unlabelled answers."""
+
+import json
+
+import pytest
+
+from filbertreach_standins.fleet import Fleet, FleetOptions
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    with Fleet(options=FleetOptions(services=6, versions=(40, 41))) as running:
+        yield running
+
+
+def test_a_whole_answer_from_the_newest_snapshot(fleet):
+    status, answer = fleet.entries[0].query(fleet.query_body("whole"))
+    assert status == 200
+    assert answer["request_id"] == "whole"
+    assert answer["snapshot_version"] == 41
+    assert answer["coverage"] == {"included": fleet.shards(), "lacking": [], "complete": True}
+    assert {row["version"] for row in answer["rows"]} == {41}
+    assert len(answer["rows"]) == 12
+    assert answer["took_ms"] > 0
+
+
+@pytest.mark.parametrize(
+    ("changes", "status", "kind", "detail"),
+    [
+        ({"environment": "moon"}, 404, "unknown-environment", "known: local"),
+        ({"application": "moon"}, 404, "unknown-application", "no application moon"),
+        ({"rank": "moon"}, 400, "bad-request", "unknown rank moon; allowed: booking"),
+        ({"application": "workshop-7"}, 403, "forbidden", "may not use rank booking"),
+        (
+            {"application": "workshop-7", "rank": "search", "shards": ["fleet-1"]},
+            403,
+            "forbidden",
+            "may not query shard fleet-1",
+        ),
+        ({"shards": ["fleet-99"]}, 400, "bad-request", "no shard fleet-99"),
+        ({"shards": []}, 400, "bad-request", "shards is empty"),
+        ({"shards": ["fleet-1", "fleet-1"]}, 400, "bad-request", "named twice"),
+        ({"deadline_ms": -5}, 400, "bad-request", "deadline_ms"),
+        ({"deadline_ms": 1e12}, 400, "bad-request", "allowed: up to 60000"),
+        ({"deadline_ms": "soon"}, 400, "bad-request", "deadline_ms"),
+        ({"request_id": ""}, 400, "bad-request", "request_id"),
+        ({"query": None}, 400, "bad-request", "query"),
+        ({"merge": {"kind": "top"}}, 400, "bad-request", "needs order_by"),
+        ({"merge": {"kind": "zip"}}, 400, "bad-request", "kind"),
+        ({"merge": {"kind": "concatenate", "limit": 10**9}}, 400, "bad-request", "limit"),
+    ],
+)
+def test_a_bad_request_gets_a_clear_problem(fleet, changes, status, kind, detail):
+    got, problem = fleet.entries[0].query({**fleet.query_body("bad"), **changes})
+    assert (got, problem["type"].rsplit("/", 1)[1]) == (status, kind)
+    assert detail in problem["detail"]
+    assert set(problem) >= {"request_id", "snapshot_version", "coverage", "took_ms", "title"}
+
+
+@pytest.mark.parametrize(
+    ("content", "status", "detail"),
+    [
+        (b"{", 400, "not a query"),
+        (b"\xff\xfe", 400, "not a query"),
+        (b"[]", 400, "not a query"),
+        (b'{"deadline_ms": NaN}', 400, "not a query"),
+        (b"{" + b" " * 300_000 + b"}", 413, "over 262144 bytes"),
+    ],
+)
+def test_a_bad_body_gets_a_clear_problem(fleet, content, status, detail):
+    headers = {"content-type": "application/json"}
+    got, body = fleet.entries[0].request("POST", "/v1/query", content, headers)
+    assert got == status
+    assert detail in json.loads(body)["detail"]
