--- a/filbertreach_standins/leaf/_leaf.py
+++ b/filbertreach_standins/leaf/_leaf.py
@@ -359,7 +359,7 @@
         self._record.start(execution)
         finished = False
         try:
-            seconds = self._service_seconds(query)
+            seconds = self.service_seconds(query)
             if seconds > 0:
                 await anyio.sleep(seconds)
             finished = True
@@ -373,7 +373,12 @@
         rows = query.get("rows", self.definition.rows)
         return AnswerParts(call.call_id, call.shard, call.version, rows)
 
-    def _service_seconds(self, query: dict[str, Any]) -> float:
+    def service_seconds(self, query: dict[str, Any]) -> float:
+        """Returns how long a call that starts now takes, in seconds.
+
+        Args:
+            query: The query; its `service_ms` replaces that of the leaf.
+        """
         seconds: float = query.get("service_ms", self.definition.service_ms) / 1000
         if self.definition.cold_seconds and self._clock.now() < self._warm_at:
             seconds *= self.definition.cold_factor
