Add gossip messages to the schema

Cause: agents exchange host states, host list news and documents. Change: HostState, HostListNews and Gossip. Conclusion: the agent uses them next.

--- a/filbertreach/schema/_generated_messages.py
+++ b/filbertreach/schema/_generated_messages.py
@@ -3,7 +3,7 @@
 
 from __future__ import annotations
 
-from typing import Any, Literal, TypeAlias, TypedDict
+from typing import Any, Literal, NotRequired, TypeAlias, TypedDict
 
 Messages: TypeAlias = Any
 """
@@ -321,6 +321,125 @@
     """
 
 
+class HostState(TypedDict):
+    """
+    What a host's agent says of its host; written only by that agent.
+    """
+
+    host: str
+    """
+    Host name.
+    """
+    version: list[int]
+    """
+    Incarnation and counter; the larger pair is newer.
+    """
+    agent_address: str
+    """
+    ip:port of the agent's inbox.
+    """
+    region: str
+    """
+    Region of the host.
+    """
+    data_centre: str
+    """
+    Data centre of the host.
+    """
+    state: Literal['starting', 'live', 'leaving', 'gone']
+    """
+    State of the host; gone after a graceful stop.
+    """
+    members: list[Member]
+    """
+    Entry and dispatch processes of the host.
+    """
+    suspects: list[str]
+    """
+    Observed hosts that this agent does not hear.
+    """
+
+
+class HostListNews(TypedDict):
+    """
+    What the platform's host list says of leaving hosts; the newest reading is passed on.
+    """
+
+    as_of: float
+    """
+    Unix time that the list shows, in seconds; 0 if it was never read.
+    """
+    leaving_hosts: list[str]
+    """
+    Names of leaving hosts of this tier.
+    """
+    leaving_addresses: list[str]
+    """
+    Addresses of leaving backend servers.
+    """
+
+
+class Gossip(TypedDict):
+    """
+    Exchange between the agents of two hosts; optional fields are sent only when they are needed.
+    """
+
+    kind: Literal['gossip']
+    digest: int
+    """
+    Digest of the versions of all host states.
+    """
+    host_list_digest: int
+    """
+    Digest of the newest known host list news.
+    """
+    generations: dict[str, int]
+    """
+    Accepted generation by environment.
+    """
+    proposals: dict[str, int]
+    """
+    Generation of an undecided proposal by environment.
+    """
+    news_age_seconds: float
+    """
+    Time since the key-value service answered the sender or a peer of it; negative if it never did.
+    """
+    ready: bool
+    """
+    Whether the sender holds the newest generations that it knows of.
+    """
+    buckets: NotRequired[list[int]]
+    """
+    Digest of each bucket of host states.
+    """
+    versions: NotRequired[dict[str, list[int]]]
+    """
+    Version by host, for the hosts of the buckets in bucket_numbers.
+    """
+    bucket_numbers: NotRequired[list[int]]
+    """
+    Buckets whose digests differ.
+    """
+    wanted_hosts: NotRequired[list[str]]
+    """
+    Hosts whose states the sender asks for.
+    """
+    states: NotRequired[list[HostState]]
+    """
+    Host states that the receiver may lack.
+    """
+    host_list: NotRequired[HostListNews]
+    wanted_documents: NotRequired[list[str]]
+    """
+    Environments whose documents the sender asks for.
+    """
+    documents: NotRequired[list[DocumentCopy]]
+    """
+    Documents that the receiver asked for.
+    """
+
+
 class Frame(TypedDict):
     """
     Unit of transfer between two processes; carries many messages.
