Add host states, rings of observers and the failure judge

Cause: agents need one view of the hosts, and must not call a host gone on one peer's word. Change: last-writer-wins host states with bucket digests; four rings of observers; a judge that needs all observers beyond suspicion to agree, with timeouts as in Lifeguard.

--- a/filbertreach/dispatch/_leaf_link.py
+++ b/filbertreach/dispatch/_leaf_link.py
@@ -217,9 +217,7 @@
         connection = _Connection()
         connection.attempt = attempt
         self._open += 1
-        self._group.start_soon(
-            self._run_connection, connection, name=f"connection {self.leaf.id}"
-        )
+        self._group.start_soon(self._run_connection, connection, name=f"connection {self.leaf.id}")
 
     async def _run_connection(self, connection: _Connection) -> None:
         LEAF_CONNECTIONS.inc()
@@ -284,16 +282,16 @@
     async def _send_cancels(self, http: httpcore.AsyncHTTPConnection) -> None:
         while self._cancels:
             path = f"/v1/calls/{self._cancels.pop(0)}"
-            await request(
-                connection=http, leaf=self.leaf, method="DELETE", path=path, headers=[]
-            )
+            await request(connection=http, leaf=self.leaf, method="DELETE", path=path, headers=[])
 
     async def _check(self, http: httpcore.AsyncHTTPConnection) -> None:
         health = await self._get(http, "/v1/health")
         versions = await self._get(http, "/v1/versions")
         now = self._clock.now()
         with contextlib.suppress(msgspec.DecodeError):
-            self._versions = frozenset(msgspec.json.decode(versions.body, type=_VersionsBody).versions)
+            self._versions = frozenset(
+                msgspec.json.decode(versions.body, type=_VersionsBody).versions
+            )
             self._versions_at = now
         with contextlib.suppress(msgspec.DecodeError):
             state = msgspec.json.decode(health.body, type=_HealthBody).state
--- a/filbertreach/membership/__init__.py
+++ b/filbertreach/membership/__init__.py
@@ -2,5 +2,22 @@
 
 from filbertreach.membership._client import HELLO_SECONDS, ViewClient, ViewError
 from filbertreach.membership._ownership import owner_of
+from filbertreach.membership._ring import Neighbours, Rings
+from filbertreach.membership._suspicion import FailureJudge, SelfHealth, suspecting_observers
+from filbertreach.membership._table import BUCKETS, HostTable, Version, version_of
 
-__all__ = ["HELLO_SECONDS", "ViewClient", "ViewError", "owner_of"]
+__all__ = [
+    "BUCKETS",
+    "HELLO_SECONDS",
+    "FailureJudge",
+    "HostTable",
+    "Neighbours",
+    "Rings",
+    "SelfHealth",
+    "Version",
+    "ViewClient",
+    "ViewError",
+    "owner_of",
+    "suspecting_observers",
+    "version_of",
+]
