--- /dev/null
+++ b/filbertreach/agent/_roster.py
@@ -0,0 +1,203 @@
+"""What one agent believes of all hosts, from peers, platform records and the host list."""
+
+import logging
+import random
+from typing import NamedTuple
+
+from returns.result import Success
+
+from filbertreach.agent._host_list import HostListBoard
+from filbertreach.agent._values import HOSTS_PREFIX, HostRecord, parse_host_record
+from filbertreach.membership import (
+    FailureJudge,
+    HostTable,
+    Neighbours,
+    Rings,
+    SelfHealth,
+    suspecting_observers,
+)
+from filbertreach.platform import KeyValueListing
+from filbertreach.schema import Member
+from filbertreach.transport import Transport
+
+_FORGET_SECONDS = 600.0
+"""A host that is gone and has had no record on the platform for this long is forgotten."""
+_UNKNOWN_CONTACTS = 3
+"""Registered hosts or seeds without a known state that an agent tries to reach at a time."""
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Registered(NamedTuple):
+    """Host records of the platform as last listed."""
+
+    record_by_host: dict[str, HostRecord]
+    """Records whose lease had not expired."""
+    read_at: float
+    """Time before the listing, in seconds; -inf if there was none."""
+
+
+class Roster:
+    """Combines the sources of membership.
+
+    Peers' word decides whether a host is gone, because the platform's sources lag: a host record
+    outlives its host by the lease, and the host list lags more. An expired record only shortens the
+    time for a refutation. The host list adds that a host is leaving, which is safe to believe late
+    or early.
+    """
+
+    def __init__(
+        self, *, host: str, transport: Transport, board: HostListBoard, seeds: list[str]
+    ) -> None:
+        """Starts with no other host.
+
+        Args:
+            host: Name of this host.
+            transport: Transport of the agent.
+            board: Host list news.
+            seeds: Addresses of some agents.
+        """
+        self.table = HostTable()
+        self.health = SelfHealth()
+        self.gone: set[str] = set()
+        """Hosts that stopped or are confirmed silent."""
+        self.registered = Registered({}, float("-inf"))
+        self._host = host
+        self._transport = transport
+        self._board = board
+        self._seeds = seeds
+        self._judge = FailureJudge()
+        self._rings = Rings([host])
+        self._ring_hosts = frozenset([host])
+        self._unregistered_since: dict[str, float] = {}
+        self._suspects: set[str] = set()
+
+    @property
+    def live_hosts(self) -> set[str]:
+        """Hosts that are not gone, this one included."""
+        return (set(self.table.state_by_host) - self.gone) | {self._host}
+
+    def take_registered(self, *, listing: KeyValueListing, read_at: float) -> None:
+        """Takes a listing of the host records.
+
+        Args:
+            listing: All keys below `filbertreach/hosts/`.
+            read_at: Time before the listing, in seconds.
+        """
+        records = {}
+        for key, item in listing.items_by_key.items():
+            parsed = parse_host_record(key=key, value=item.value)
+            if isinstance(parsed, Success):
+                records[key.removeprefix(HOSTS_PREFIX)] = parsed.unwrap()
+            else:
+                _LOGGER.warning("%s", parsed.failure())
+        self.registered = Registered(records, read_at)
+        for host in set(self.table.state_by_host) - {self._host}:
+            if host in records:
+                self._unregistered_since.pop(host, None)
+            else:
+                self._unregistered_since.setdefault(host, read_at)
+        for host, since in list(self._unregistered_since.items()):
+            if host in self.gone and read_at - since > _FORGET_SECONDS:
+                self.table.forget(host)
+                del self._unregistered_since[host]
+
+    def refresh(self, *, now: float) -> None:
+        """Judges all hosts anew.
+
+        Args:
+            now: Time in seconds.
+        """
+        hosts = frozenset(
+            host
+            for host, state in self.table.state_by_host.items()
+            if state["state"] != "gone" or host == self._host
+        ) | {self._host}
+        if hosts != self._ring_hosts:
+            self._ring_hosts, self._rings = hosts, Rings(hosts)
+        self.gone = self._judge.gone(
+            table=self.table,
+            rings=self._rings,
+            now=now,
+            health_factor=self.health.factor(now),
+            unregistered=self._unregistered_since,
+        ) - {self._host}
+
+    @property
+    def neighbours(self) -> Neighbours:
+        """Neighbours of this host in the rings; silent ones stay until they are forgotten."""
+        return self._rings.neighbours(self._host)
+
+    def addresses_of(self, hosts: frozenset[str]) -> set[str]:
+        """Returns the addresses of the agents of some hosts."""
+        states = self.table.state_by_host
+        return {states[host]["agent_address"] for host in hosts if host in states}
+
+    def unknown_contacts(self) -> set[str]:
+        """Returns addresses of agents that should be reached although nothing is known of them."""
+        known = {state["agent_address"] for state in self.table.state_by_host.values()}
+        listed = {
+            record["agent_address"]
+            for host, record in self.registered.record_by_host.items()
+            if host not in self.table.state_by_host
+        }
+        reached = self.neighbours.all - self.gone
+        candidates = sorted((listed | (set() if reached else set(self._seeds))) - known)
+        return set(random.sample(candidates, min(_UNKNOWN_CONTACTS, len(candidates))))
+
+    def suspects(self, *, now: float) -> list[str]:
+        """Returns the observed hosts that this agent does not hear.
+
+        Args:
+            now: Time in seconds.
+        """
+        observed = self.neighbours.observed
+        if not self.health.may_suspect(now):
+            # Silences noticed earlier stay, and new ones do not count.
+            self._suspects &= observed
+        else:
+            states = self.table.state_by_host
+            self._suspects = {
+                host for host in observed if self._is_silent(states[host]["agent_address"])
+            }
+        self._suspects = {host for host in self._suspects if host in self.table.state_by_host}
+        return sorted(self._suspects)
+
+    def _is_silent(self, address: str) -> bool:
+        peer = self._transport.peer_by_address.get(address)
+        return peer is not None and peer.state.value == "silent"
+
+    def reaches_majority(self) -> bool:
+        """Returns whether this host reaches more than half of the registered hosts.
+
+        Neighbours are reached over their link; of the others gossip tells whether someone does not
+        hear them.
+        """
+        hosts = (set(self.registered.record_by_host) | self._ring_hosts) | {self._host}
+        suspected = set(suspecting_observers(self.table))
+        reached = sum(1 for host in hosts if self._reaches(host, suspected))
+        return 2 * reached > len(hosts)
+
+    def _reaches(self, host: str, suspected: set[str]) -> bool:
+        if host == self._host:
+            return True
+        state = self.table.state_by_host.get(host)
+        if state is None or host in self.gone:
+            return False
+        if host in self.neighbours.all:
+            return self._transport.is_reachable(state["agent_address"])
+        return host not in suspected
+
+    def members(self) -> list[Member]:
+        """Returns the processes of all hosts that are not gone, with the host's state applied."""
+        found = []
+        for host in self.live_hosts:
+            state = self.table.state_by_host.get(host)
+            if state is None:
+                continue
+            leaving = state["state"] == "leaving" or host in self._board.news["leaving_hosts"]
+            for member in state["members"]:
+                if leaving and member["state"] == "live":
+                    member = Member(**{**member, "state": "leaving"})
+                found.append(member)
+        return found
--- /dev/null
+++ b/filbertreach/agent/_values.py
@@ -0,0 +1,113 @@
+"""Values that agents and operators exchange through the key-value service."""
+
+import hashlib
+from typing import NotRequired
+
+import msgspec
+from returns.result import Failure, Result, Success
+from typing_extensions import TypedDict
+
+from filbertreach.agent._errors import ValueFormatError
+from filbertreach.schema import Member
+
+ENVIRONMENTS_PREFIX = "filbertreach/environments/"
+HOSTS_PREFIX = "filbertreach/hosts/"
+
+
+class DocumentValue(TypedDict):
+    """Value of `/proposed` and `/accepted`."""
+
+    environment: str
+    """Environment name."""
+    generation: int
+    """Generation; an accepted one only increases."""
+    digest: str
+    """SHA-256 of the text's UTF-8 bytes, in hexadecimal."""
+    text: str
+    """INI text."""
+    operator: NotRequired[str]
+    """Who proposed it."""
+    reason: NotRequired[str]
+    """Why."""
+    proposed_at: NotRequired[str]
+    """UTC time of the proposal."""
+    request: NotRequired[str]
+    """Token of the proposal."""
+    accepted_at: NotRequired[str]
+    """UTC time of acceptance; only in `/accepted`."""
+
+
+class InForce(TypedDict):
+    """Generation in force on a host."""
+
+    generation: int
+    """Generation that every live process of the host has reported."""
+    since: str
+    """UTC time at which the agent learned of the last of these reports."""
+
+
+class HostRecord(TypedDict):
+    """Value of `filbertreach/hosts/<host>`."""
+
+    host: str
+    """Host name."""
+    agent_address: str
+    """ip:port of the agent's inbox."""
+    incarnation: int
+    """Start of the agent that wrote the record."""
+    state: str
+    """starting, live or leaving."""
+    region: str
+    """Region of the host."""
+    data_centre: str
+    """Data centre of the host."""
+    prepared: dict[str, str]
+    """Digest of the proposed text that this host is ready to install, by environment."""
+    in_force: dict[str, InForce]
+    """Generation in force by environment."""
+    members: list[Member]
+    """Entry and dispatch processes of the host."""
+
+
+def digest_of(text: str) -> str:
+    """Returns the SHA-256 of the text's UTF-8 bytes, in hexadecimal."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def parse_document_value(*, key: str, value: str) -> Result[DocumentValue, ValueFormatError]:
+    """Reads the value of `/proposed` or `/accepted`.
+
+    Args:
+        key: Key that it was stored under.
+        value: JSON text.
+
+    Returns:
+        The value, or a ValueFormatError that says what is wrong with it.
+    """
+    try:
+        decoded = msgspec.json.decode(value, type=DocumentValue)
+    except msgspec.MsgspecError as error:
+        return Failure(ValueFormatError(f"{key}: {error}"))
+    environment = key.removeprefix(ENVIRONMENTS_PREFIX).rpartition("/")[0]
+    if decoded["environment"] != environment:
+        message = f"{key}: the value is of environment {decoded['environment']!r}"
+        return Failure(ValueFormatError(message))
+    if decoded["digest"] != digest_of(decoded["text"]):
+        return Failure(ValueFormatError(f"{key}: the digest is not that of the text"))
+    return Success(decoded)
+
+
+def parse_host_record(*, key: str, value: str) -> Result[HostRecord, ValueFormatError]:
+    """Reads a host record.
+
+    Args:
+        key: Key that it was stored under.
+        value: JSON text.
+
+    Returns:
+        The record, or a ValueFormatError.
+    """
+    try:
+        return Success(msgspec.json.decode(value, type=HostRecord))
+    except msgspec.MsgspecError as error:
+        return Failure(ValueFormatError(f"{key}: {error}"))
--- a/filbertreach/schema/_generated_settings.py
+++ b/filbertreach/schema/_generated_settings.py
@@ -31,6 +31,10 @@
     """
     ip:port on which the process receives frames.
     """
+    inbox_listen: NotRequired[str]
+    """
+    ip:port to listen on, if peers reach the inbox through another address.
+    """
     http: str
     """
     ip:port of the HTTP interface: callers (entry), health and metrics (all).
