Add planned changes, digests and differences of documents

Cause: production takes only texts that ran in trial, and clients that a planned change may slow must be called first; both need to compare documents by meaning. Change: filbertreach.changes predicts slowdowns per client (Erlang C), reads call records and says which changes are held or active; filbertreach.document gains digest_document, digest_change, diff_documents and with_environment. Conclusion: daemons can use held_changes and active_changes as pure functions.

--- /dev/null
+++ b/filbertreach/changes/__init__.py
@@ -0,0 +1,39 @@
+"""Planned changes: whom they may slow, who was called, and which are held or active."""
+
+from filbertreach.changes._calls import (
+    OVERRIDE,
+    CallRecord,
+    active_changes,
+    held_changes,
+    uncalled_clients,
+    was_overridden,
+)
+from filbertreach.changes._capacity import slowdown_ratio
+from filbertreach.changes._effects import (
+    ASSUMED_UTILISATION,
+    Effect,
+    Situation,
+    UnusableChangeError,
+    change_effects,
+    effect_kind,
+)
+from filbertreach.changes._slowdowns import Slowdown, check_changes, slowed_clients
+
+__all__ = [
+    "ASSUMED_UTILISATION",
+    "OVERRIDE",
+    "CallRecord",
+    "Effect",
+    "Situation",
+    "Slowdown",
+    "UnusableChangeError",
+    "active_changes",
+    "change_effects",
+    "check_changes",
+    "effect_kind",
+    "held_changes",
+    "slowdown_ratio",
+    "slowed_clients",
+    "uncalled_clients",
+    "was_overridden",
+]
--- a/filbertreach/document/__init__.py
+++ b/filbertreach/document/__init__.py
@@ -1,5 +1,7 @@
 """Environment documents: the text that operators write, as checked and linked data."""
 
+from filbertreach.document._difference import Difference, diff_documents
+from filbertreach.document._digest import digest_change, digest_document
 from filbertreach.document._model import (
     Application,
     Change,
@@ -13,12 +15,14 @@
     Snapshot,
 )
 from filbertreach.document._parse import MAX_DOCUMENT_BYTES, DocumentError, parse_document
+from filbertreach.document._rename import with_environment
 
 __all__ = [
     "MAX_DOCUMENT_BYTES",
     "Application",
     "Change",
     "Client",
+    "Difference",
     "DocumentError",
     "Environment",
     "Leaf",
@@ -27,5 +31,9 @@
     "Rank",
     "Service",
     "Snapshot",
+    "diff_documents",
+    "digest_change",
+    "digest_document",
     "parse_document",
+    "with_environment",
 ]
