Add the operators' command line

Cause: operators need to apply, promote, compare and roll forward documents, and to call clients before planned changes, through a store that races, loses answers and has outages. Change: filbertreach.ctl with eleven verbs, the acceptance exchange of design 6.1, operators' keys and signatures, settings schema ctl; example documents and settings for both deployments with tools/make_examples.py. Conclusion: the protocol is complete apart from hosts without a record.

--- /dev/null
+++ b/filbertreach/ctl/__main__.py
@@ -0,0 +1,114 @@
+"""Entry point of filbertreach-ctl."""
+
+import argparse
+import os
+import sys
+from typing import cast
+
+import anyio
+from returns.result import Success
+
+from filbertreach import __version__
+from filbertreach.ctl import _verbs_calls, _verbs_read, _verbs_write
+from filbertreach.ctl._context import Context
+from filbertreach.ctl._errors import CtlError, ExitCode, UsageError
+from filbertreach.ctl._registry import Verb, verb_by_name
+from filbertreach.ctl._report import Report, print_error, print_report, progress
+from filbertreach.ctl._store import Store
+from filbertreach.platform import KeyValueClient
+from filbertreach.schema import CtlSettings
+from filbertreach.settings import load, load_text
+
+_VERB_MODULES = (_verbs_read, _verbs_write, _verbs_calls)
+"""Imported because their verbs register themselves."""
+_SETTINGS_VARIABLE = "FILBERTREACH_CTL_SETTINGS"
+_DEFAULT_SETTINGS = "/etc/filbertreach/ctl.ini"
+_EPILOG = f"""\
+exit codes:
+  0  done
+  1  refused; nothing was changed
+  2  usage or settings
+  3  conflict: another operator was first; nothing of yours was accepted
+  4  platform unavailable; nothing was accepted
+  5  outcome unknown: run the same command again, it does not apply twice
+  6  accepted, but not in force everywhere in time
+
+settings: --settings FILE, else ${_SETTINGS_VARIABLE}, else {_DEFAULT_SETTINGS} if it exists.
+Start with 'validate FILE' and 'status'; docs/operators.md goes through a whole change.
+"""
+
+
+def main() -> int:
+    """Runs one command.
+
+    Returns:
+        The exit code.
+    """
+    arguments = _parser().parse_args()
+    try:
+        report = anyio.run(_run, arguments)
+    except CtlError as error:
+        print_error(error, as_json=arguments.json)
+        return int(error.exit_code)
+    except KeyboardInterrupt:
+        print("interrupted: 'filbertreach-ctl status' shows what is accepted", file=sys.stderr)
+        return int(ExitCode.UNKNOWN)
+    print_report(report, as_json=arguments.json)
+    return int(report.exit_code)
+
+
+async def _run(arguments: argparse.Namespace) -> Report:
+    settings = _settings(arguments)
+    platform = settings["platform"]
+    timeout = platform["timeout_seconds"]
+    async with KeyValueClient(
+        base_url=platform["key_value_url"], timeout_seconds=timeout
+    ) as client:
+        store = Store(client=client, timeout_seconds=timeout)
+        context = Context(arguments, settings["ctl"], store, progress)
+        chosen: Verb = arguments.verb
+        return await chosen.run(context)
+
+
+def _settings(arguments: argparse.Namespace) -> CtlSettings:
+    path = arguments.settings
+    if path is None and not os.path.exists(_DEFAULT_SETTINGS):
+        result = load_text(text="", source="defaults", schema_name="ctl")
+    else:
+        arguments.settings = path = path or _DEFAULT_SETTINGS
+        result = load(path, "ctl")
+    if not isinstance(result, Success):
+        raise UsageError(str(result.failure()))
+    return cast(CtlSettings, result.unwrap())
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="filbertreach-ctl",
+        description="Operators' command line of filbertreach: documents, planned changes, status.",
+        epilog=_EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--version", action="version", version=f"%(prog)s {__version__}")
+    verbs = parser.add_subparsers(metavar="VERB", required=True)
+    for verb in verb_by_name.values():
+        child = verbs.add_parser(
+            verb.name,
+            help=verb.help,
+            description=verb.description,
+            formatter_class=argparse.RawDescriptionHelpFormatter,
+        )
+        verb.add_arguments(child)
+        child.add_argument("--json", action="store_true", help="print one JSON object")
+        child.add_argument(
+            "--settings",
+            metavar="FILE",
+            default=os.environ.get(_SETTINGS_VARIABLE),
+            help="INI settings file with the sections [ctl] and [platform]",
+        )
+        child.set_defaults(verb=verb)
+    return parser
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/filbertreach/ctl/_hosts.py
@@ -0,0 +1,117 @@
+"""The registered hosts and what they have confirmed and in force."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import anyio
+
+from filbertreach.ctl._errors import UnavailableError
+from filbertreach.ctl._records import HOSTS_PREFIX, Accepted, HostRecord, InForce
+from filbertreach.ctl._store import Store
+from filbertreach.timing import Clock
+
+
+class Hosts(NamedTuple):
+    """All host records, read at one moment."""
+
+    record_by_host: dict[str, HostRecord]
+    """Record by host name."""
+
+    def not_prepared(self, environment: str, digest: str) -> list[str]:
+        """Returns the hosts that have not confirmed a proposal, in order."""
+        return sorted(
+            host
+            for host, record in self.record_by_host.items()
+            if record.get("prepared", {}).get(environment) != digest
+        )
+
+    def in_force(self, host: str, environment: str) -> InForce | None:
+        """Returns what a host has in force, or None if it has not said."""
+        return self.record_by_host[host].get("in_force", {}).get(environment)
+
+    def behind(self, environment: str, generation: int) -> list[str]:
+        """Returns the hosts that do not have a generation or a later one in force, in order."""
+        found = []
+        for host in sorted(self.record_by_host):
+            in_force = self.in_force(host, environment)
+            if in_force is None or in_force["generation"] < generation:
+                found.append(host)
+        return found
+
+    def not_heard(self, accepted: Accepted) -> list[str]:
+        """Returns the hosts that confirmed the accepted document but have no record now."""
+        return sorted(set(accepted["hosts"]) - self.record_by_host.keys())
+
+
+class InForceWait(NamedTuple):
+    """How a wait for a generation ended."""
+
+    hosts: Hosts | None
+    """Last records read; None if the platform did not answer once."""
+    behind: list[str]
+    """Hosts without the generation; empty if it is in force on every registered host."""
+
+
+async def read_hosts(store: Store) -> Hosts:
+    """Reads all host records.
+
+    Args:
+        store: Access to the key-value service.
+
+    Returns:
+        The records.
+
+    Raises:
+        UnavailableError: The platform does not answer.
+    """
+    found = await store.read_all(HOSTS_PREFIX)
+    records: dict[str, HostRecord] = {
+        key.removeprefix(HOSTS_PREFIX): stored.value  # type: ignore[misc]
+        for key, stored in found.items()
+    }
+    return Hosts(records)
+
+
+async def wait_in_force(
+    store: Store,
+    *,
+    record: Accepted,
+    seconds: float,
+    poll_seconds: float,
+    clock: Clock,
+    report: Callable[[str], None],
+) -> InForceWait:
+    """Waits until every registered host has a generation in force.
+
+    Args:
+        store: Access to the key-value service.
+        record: The accepted document.
+        seconds: Longest wait; 0 looks once.
+        poll_seconds: Time between two looks.
+        clock: Source of elapsed time.
+        report: Receives lines of progress.
+
+    Returns:
+        The last state seen.
+    """
+    give_up = clock.now() + seconds
+    hosts: Hosts | None = None
+    behind: list[str] = []
+    shown = ""
+    while True:
+        try:
+            hosts = await read_hosts(store)
+            behind = hosts.behind(record["environment"], record["generation"])
+            total = len(hosts.record_by_host)
+            progress = (
+                f"generation {record['generation']} in force on "
+                f"{total - len(behind)} of {total} hosts"
+            )
+        except UnavailableError as error:
+            progress = str(error)
+        if progress != shown:
+            report(progress)
+            shown = progress
+        if (hosts is not None and not behind) or clock.now() >= give_up:
+            return InForceWait(hosts, behind)
+        await anyio.sleep(poll_seconds)
--- /dev/null
+++ b/filbertreach/ctl/_verbs_calls.py
@@ -0,0 +1,219 @@
+"""Verbs about phone calls before planned changes."""
+
+import argparse
+import math
+from typing import Any
+
+from filbertreach.changes import (
+    OVERRIDE,
+    CallRecord,
+    Situation,
+    Slowdown,
+    UnusableChangeError,
+    slowed_clients,
+    uncalled_clients,
+    was_overridden,
+)
+from filbertreach.ctl._calls import FoundChange, find_change, read_call_records
+from filbertreach.ctl._context import Context
+from filbertreach.ctl._errors import RefusedError, UnavailableError, UnknownOutcomeError
+from filbertreach.ctl._records import (
+    calls_prefix,
+    format_time,
+    now_utc,
+    overrides_prefix,
+)
+from filbertreach.ctl._registry import verb
+from filbertreach.ctl._report import Report
+from filbertreach.ctl._store import AnswerLostError, RevisionChangedError
+from filbertreach.document import digest_change
+
+_WRITE_ATTEMPTS = 3
+"""Tries of a write that may be repeated without harm."""
+
+
+def _change_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("environment", metavar="ENV", help="environment whose clients are called")
+    parser.add_argument("change", metavar="CHANGE", help="name of its [change NAME] section")
+    parser.add_argument(
+        "--file",
+        metavar="FILE",
+        help="a draft with the change, instead of the text on trial or the accepted one",
+    )
+
+
+def _calls_arguments(parser: argparse.ArgumentParser) -> None:
+    _change_arguments(parser)
+    parser.add_argument(
+        "--utilisation",
+        action="append",
+        default=[],
+        type=_utilisation,
+        metavar="SERVICE=SHARE",
+        help="measured share of slots in use, 0 to 1; may be given several times. For "
+        "information: what holds a change back is worked out without it",
+    )
+
+
+def _utilisation(text: str) -> tuple[str, float]:
+    service, _, share = text.partition("=")
+    value = float(share)
+    if not 0 <= value <= 1:
+        raise argparse.ArgumentTypeError("write SERVICE=SHARE with a share from 0 to 1")
+    return service, value
+
+
+def _record_arguments(parser: argparse.ArgumentParser) -> None:
+    _change_arguments(parser)
+    parser.add_argument("client", metavar="CLIENT", help="client that was called")
+    parser.add_argument("--by", required=True, metavar="WHO", help="who called")
+
+
+def _override_arguments(parser: argparse.ArgumentParser) -> None:
+    _change_arguments(parser)
+    parser.add_argument("--reason", required=True, metavar="TEXT", help="kept in history for good")
+
+
+@verb("calls", help="the clients to call before a planned change", arguments=_calls_arguments)
+async def calls(context: Context) -> Report:
+    """Lists the clients that a planned change may slow: contact, by how much, why, and who called.
+
+    The change is looked up in the text on trial, then in the accepted text. Calls are recorded with
+    'record-call'. A call counts for exactly the change that was announced: if its times or subject
+    are changed, the clients have to be called again.
+    """
+    found = await find_change(context, context.arguments.environment, context.arguments.change)
+    situation = Situation(utilisation_by_service=dict(context.arguments.utilisation))
+    slowed = _slowed(found, situation)
+    records = (await _records(context)).get(found.change.name, {})
+    digest = digest_change(found.change)
+    change = found.change
+    lines = [
+        f"change {change.name} in {found.source}: {change.kind} {change.subject} "
+        f"{change.target}".rstrip(),
+        f"  from {format_time(change.starts)} to {format_time(change.ends)}",
+    ]
+    entries = []
+    for slowdown in slowed.values():
+        record = records.get(slowdown.client)
+        called = record if record is not None and record["digest"] == digest else None
+        lines += _client_lines(slowdown, called, stale=record is not None and called is None)
+        entries.append({**slowdown._asdict(), "ratio": _ratio(slowdown.ratio), "called": called})
+    if not slowed:
+        lines.append("  slows nobody by more than the policy's slowdown_bound: no call is needed")
+    overridden = was_overridden(change, records)
+    if overridden:
+        lines.append(f"  calls were overridden by {records[OVERRIDE]['by']}")
+    waiting = [item["client"] for item in entries if item["called"] is None]
+    data = {"change": change.name, "digest": digest, "source": found.source, "clients": entries}
+    return Report(lines, {**data, "to_call": waiting, "overridden": overridden})
+
+
+def _client_lines(slowdown: Slowdown, called: CallRecord | None, *, stale: bool) -> list[str]:
+    state = f"called by {called['by']} at {called['at']}" if called else "TO CALL"
+    if stale:
+        state += " (an earlier call announced another time or subject)"
+    return [
+        f"  {slowdown.client}  {slowdown.contact or 'no contact written'}  {state}",
+        f"    p99 {_ratio(slowdown.ratio)} times as long: {slowdown.reason}",
+    ]
+
+
+def _ratio(ratio: float) -> str:
+    return "unbounded" if math.isinf(ratio) else f"{ratio:.2f}"
+
+
+def _slowed(found: FoundChange, situation: Situation | None = None) -> dict[str, Slowdown]:
+    try:
+        return slowed_clients(found.environment, found.change, situation)
+    except UnusableChangeError as error:
+        raise RefusedError(f"change {found.change.name}: {error}") from None
+
+
+async def _records(context: Context) -> dict[str, dict[str, CallRecord]]:
+    return await read_call_records(context, context.arguments.environment)
+
+
+@verb("record-call", help="record that a client was called", arguments=_record_arguments)
+async def record_call(context: Context) -> Report:
+    """Records that a client was told of a planned change.
+
+    The record names the digest of the change, so it does not count for another time or subject.
+    Recording twice does no harm. The last line says who is still to be called.
+    """
+    operator = context.operator()
+    found = await find_change(context, context.arguments.environment, context.arguments.change)
+    client = context.arguments.client
+    if client not in found.environment.clients_by_name:
+        known = ", ".join(sorted(found.environment.clients_by_name)) or "none"
+        raise RefusedError(f"there is no [client {client}] in {found.source}; there is: {known}")
+    record: dict[str, Any] = {
+        "by": context.arguments.by,
+        "at": format_time(now_utc()),
+        "digest": digest_change(found.change),
+        "operator": operator.name,
+    }
+    record["signature"] = operator.sign(record)
+    prefix = calls_prefix(context.arguments.environment)
+    await _write(context, f"{prefix}{found.change.name}/{client}", record)
+    records = (await _records(context)).get(found.change.name, {})
+    waiting = uncalled_clients(found.environment, found.change, records)
+    lines = [f"recorded: {client} was called by {record['by']} about {found.change.name}"]
+    if client not in _slowed(found):
+        lines.append(f"  {client} was not on the list of clients that the change may slow")
+    lines.append(f"still to call: {', '.join(waiting) or 'nobody'}")
+    return Report(lines, {"recorded": client, "record": record, "to_call": waiting})
+
+
+@verb("override", help="let a change start without its calls", arguments=_override_arguments)
+async def override(context: Context) -> Report:
+    """Lets a planned change start although clients were not called.
+
+    For cases such as a client that can't be reached. Who, when, why and which clients were not
+    called is signed and kept in history for good. It counts for exactly this change, and never lets
+    a change take the last leaf of a service.
+    """
+    operator = context.operator()
+    environment = context.arguments.environment
+    found = await find_change(context, environment, context.arguments.change)
+    change = found.change
+    records = (await _records(context)).get(change.name, {})
+    if was_overridden(change, records):
+        return Report([f"change {change.name} was overridden before"], {"repeated": True})
+    _slowed(found)
+    record: dict[str, Any] = {
+        "by": operator.name,
+        "at": format_time(now_utc()),
+        "digest": digest_change(change),
+        "change": change.name,
+        "operator": operator.name,
+        "reason": context.arguments.reason,
+        "uncalled": uncalled_clients(found.environment, change, records),
+    }
+    record["signature"] = operator.sign(record)
+    # History comes first: an override must never be in force without a trace.
+    history = f"{overrides_prefix(environment)}{change.name}-{record['digest'][:16]}"
+    await _write(context, history, record, expected=0)
+    await _write(context, f"{calls_prefix(environment)}{change.name}/{OVERRIDE}", record)
+    waived = ", ".join(record["uncalled"]) or "nobody"
+    lines = [f"change {change.name} may start; not called: {waived}; kept in history"]
+    return Report(lines, {"record": record})
+
+
+async def _write(
+    context: Context, key: str, record: dict[str, Any], *, expected: int | None = None
+) -> None:
+    for _ in range(_WRITE_ATTEMPTS):
+        try:
+            await context.store.write(key, record, expected=expected)
+            return
+        except RevisionChangedError:
+            # An earlier attempt whose answer was lost, or an earlier run, wrote it.
+            return
+        except AnswerLostError:
+            continue
+        except UnavailableError as error:
+            raise UnavailableError(f"not recorded: {error}") from None
+    raise UnknownOutcomeError(
+        "unknown whether it was recorded; run the same command again, recording twice does no harm"
+    )
--- /dev/null
+++ b/filbertreach/ctl/_verbs_write.py
@@ -0,0 +1,231 @@
+"""Verbs that make a text the accepted document."""
+
+import argparse
+import math
+from typing import Any
+
+from filbertreach.ctl._acceptance import Acceptance
+from filbertreach.ctl._context import Context, parsed, read_file
+from filbertreach.ctl._errors import ExitCode, NotInForceError, RefusedError
+from filbertreach.ctl._gates import (
+    check_production,
+    check_signature,
+    describe_trial,
+    record_trial,
+    refuse_unusable_changes,
+)
+from filbertreach.ctl._hosts import wait_in_force
+from filbertreach.ctl._records import Accepted
+from filbertreach.ctl._registry import verb
+from filbertreach.ctl._report import Report
+from filbertreach.document import Environment, diff_documents, digest_document, with_environment
+from filbertreach.timing import SystemClock
+
+_WAIT_SECONDS = 17.0
+"""An accepted configuration is to be in force everywhere within 17 s (docs/design.md 1.4)."""
+
+
+def _add_common(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--base",
+        type=_generation,
+        metavar="N",
+        help="accepted generation that you worked from; refused with exit code 3 if it is another",
+    )
+    parser.add_argument(
+        "--wait",
+        type=_seconds,
+        default=_WAIT_SECONDS,
+        metavar="SECONDS",
+        help="longest wait, after acceptance, until it is in force everywhere; 0 does not wait "
+        f"(default {_WAIT_SECONDS:g})",
+    )
+    parser.add_argument(
+        "--bootstrap", action="store_true", help="accept although no host is registered yet"
+    )
+
+
+def _generation(text: str) -> int:
+    value = int(text)
+    if value < 0:
+        raise argparse.ArgumentTypeError("write a generation from 0")
+    return value
+
+
+def _seconds(text: str) -> float:
+    value = float(text)
+    if not 0 <= value < math.inf:
+        raise argparse.ArgumentTypeError("write seconds from 0")
+    return value
+
+
+def _add_reason(parser: argparse.ArgumentParser, *, required: bool) -> None:
+    parser.add_argument(
+        "--reason", required=required, default="", metavar="TEXT", help="kept in history"
+    )
+
+
+def _apply_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("file", metavar="FILE", help="environment document, INI")
+    _add_reason(parser, required=True)
+    _add_common(parser)
+
+
+def _promote_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("environment", metavar="ENV", help="production environment")
+    parser.add_argument(
+        "--from", dest="trial", required=True, metavar="TRIAL_ENV", help="its trial environment"
+    )
+    _add_reason(parser, required=False)
+    _add_common(parser)
+
+
+def _roll_forward_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("environment", metavar="ENV", help="environment name")
+    parser.add_argument(
+        "--to", type=_generation, required=True, metavar="GENERATION", help="earlier generation"
+    )
+    _add_reason(parser, required=False)
+    _add_common(parser)
+
+
+@verb("apply", help="make a file the accepted document", arguments=_apply_arguments)
+async def apply(context: Context) -> Report:
+    """Proposes the file to every host, waits for all of them to confirm it, and accepts it.
+
+    The environment is the one that the file names. A trial environment takes any usable text; a
+    production environment takes a text that ran in its trial environment and whose planned changes
+    were announced to the clients. The same command may be run again after a lost answer: it does
+    not apply twice.
+
+    Exit codes: 0 in force; 1 refused, nothing changed; 3 another operator was first; 4 the platform
+    is unavailable, nothing changed; 5 unknown, run it again; 6 accepted, but not in force
+    everywhere within --wait.
+    """
+    path = context.arguments.file
+    text = read_file(path)
+    document = parsed(text, source=path)
+    refuse_unusable_changes(document)
+    trial = await check_production(context, document)
+    lines = describe_trial(trial) if trial is not None else []
+    return await _accept(context, document, text, context.arguments.reason, lines)
+
+
+@verb("promote", help="take a text from trial to production", arguments=_promote_arguments)
+async def promote(context: Context) -> Report:
+    """Makes the text that runs in the trial environment the accepted production document.
+
+    Only the [environment] section differs. Prints what the trial showed and what changes in
+    production. Refused while the text is not in force on every host of the trial, and while a
+    client that a planned change may slow was not called (see 'calls' and 'record-call').
+
+    Exit codes as for 'apply'.
+    """
+    name, trial = context.arguments.environment, context.arguments.trial
+    in_trial = await context.accepted_or_refuse(trial)
+    check_signature(context, in_trial)
+    if parsed(in_trial["text"], source=trial).trial:
+        raise RefusedError(f"not accepted: {trial} is itself a production environment")
+    text = with_environment(text=in_trial["text"], name=name, trial=trial)
+    document = parsed(text, source=trial)
+    refuse_unusable_changes(document)
+    record = await check_production(context, document)
+    assert record is not None
+    lines = describe_trial(record)
+    reason = context.arguments.reason or f"promoted from {trial} generation {record['generation']}"
+    return await _accept(context, document, text, reason, lines)
+
+
+@verb("roll-forward", help="an earlier text as a new generation", arguments=_roll_forward_arguments)
+async def roll_forward(context: Context) -> Report:
+    """Makes the text of an earlier generation the accepted document, under a new generation.
+
+    Generations only increase: the way back to an earlier text is a new generation with that text.
+    It ran in this environment before, so no trial is asked for. Missing phone calls do not refuse
+    it, since it is the way out of an emergency; the hosts hold an unannounced change anyway.
+
+    Exit codes as for 'apply'.
+    """
+    name, generation = context.arguments.environment, context.arguments.to
+    earlier = await context.generation(name, generation)
+    check_signature(context, earlier)
+    document = parsed(earlier["text"], source=f"{name}@{generation}")
+    reason = context.arguments.reason or f"text of generation {generation} again"
+    return await _accept(context, document, earlier["text"], reason, [])
+
+
+async def _accept(
+    context: Context, document: Environment, text: str, reason: str, lines: list[str]
+) -> Report:
+    operator = context.operator()
+    present = await context.accepted(document.name)
+    for line in [*lines, *_difference_lines(present, document)]:
+        context.report(line)
+    acceptance = Acceptance(
+        store=context.store,
+        operator=operator,
+        environment=document.name,
+        settings=context.settings,
+        report=context.report,
+    )
+    accepted = await acceptance.run(
+        text=text,
+        reason=reason,
+        base=context.arguments.base,
+        bootstrap=context.arguments.bootstrap,
+    )
+    record = accepted.record
+    verdict = "was accepted by an earlier run" if accepted.repeated else "accepted"
+    line = f"generation {record['generation']} of {document.name} {verdict}"
+    context.report(line)
+    data = {
+        "outcome": "accepted",
+        "repeated": accepted.repeated,
+        "environment": document.name,
+        "generation": record["generation"],
+        "digest": digest_document(document),
+        "request": record["request"],
+        "accepted_at": record["accepted_at"],
+    }
+    if context.arguments.wait <= 0:
+        return Report([line], data)
+    return await _wait(context, record, document, line, data)
+
+
+def _difference_lines(present: Accepted | None, document: Environment) -> list[str]:
+    if present is None:
+        return [f"first document of {document.name}"]
+    before = parsed(present["text"], source=document.name)
+    found = [f"  {item}" for item in diff_documents(before, document)]
+    return [f"changes to generation {present['generation']}:", *(found or ["  none in meaning"])]
+
+
+async def _wait(
+    context: Context, record: Accepted, document: Environment, line: str, data: dict[str, Any]
+) -> Report:
+    clock = SystemClock()
+    started = clock.now()
+    result = await wait_in_force(
+        context.store,
+        record=record,
+        seconds=context.arguments.wait,
+        poll_seconds=context.settings["poll_seconds"],
+        clock=clock,
+        report=context.report,
+    )
+    waited = clock.now() - started
+    if result.hosts is None or result.behind:
+        where = ", ".join(result.behind) or "unknown: the platform did not answer"
+        raise NotInForceError(
+            f"{line}, but not in force everywhere within {context.arguments.wait:g} s; missing: "
+            f"{where}. 'filbertreach-ctl status {document.name}' shows when it is",
+            data={**data, "behind": result.behind},
+        )
+    if not document.trial:
+        await record_trial(context, record, result.hosts)
+    hosts = len(result.hosts.record_by_host)
+    lines = [line, f"in force on {hosts} of {hosts} hosts, {waited:.1f} s after acceptance"]
+    not_heard = result.hosts.not_heard(record)
+    lines += [f"not heard from since it confirmed: {host}" for host in not_heard]
+    data = {**data, "in_force_seconds": round(waited, 3), "hosts": hosts}
+    return Report(lines, {**data, "not_heard_from": not_heard}, ExitCode.DONE)
--- a/filbertreach/schema/__init__.py
+++ b/filbertreach/schema/__init__.py
@@ -1,5 +1,6 @@
 """Messages, settings and documents: types generated from JSON Schema, and the schemas."""
 
+from filbertreach.schema._generated_ctl import CtlPlatformSection, CtlSection, CtlSettings
 from filbertreach.schema._generated_document import (
     ApplicationSection,
     ChangeSection,
@@ -46,6 +47,9 @@
     "Cancel",
     "ChangeSection",
     "ClientSection",
+    "CtlPlatformSection",
+    "CtlSection",
+    "CtlSettings",
     "DispatchSection",
     "DocumentCopy",
     "EntrySection",
