Delay acceptance by live hosts without a record

Cause: the record of a cut-off host ends with its lease, after which an acceptance would no longer wait for it.

--- a/filbertreach/ctl/__main__.py
+++ b/filbertreach/ctl/__main__.py
@@ -1,6 +1,7 @@
 """Entry point of filbertreach-ctl."""
 
 import argparse
+import contextlib
 import os
 import sys
 from typing import cast
@@ -15,7 +16,7 @@
 from filbertreach.ctl._registry import Verb, verb_by_name
 from filbertreach.ctl._report import Report, print_error, print_report, progress
 from filbertreach.ctl._store import Store
-from filbertreach.platform import KeyValueClient
+from filbertreach.platform import HostListClient, KeyValueClient
 from filbertreach.schema import CtlSettings
 from filbertreach.settings import load, load_text
 
@@ -61,10 +62,16 @@
     settings = _settings(arguments)
     platform = settings["platform"]
     timeout = platform["timeout_seconds"]
-    async with KeyValueClient(
-        base_url=platform["key_value_url"], timeout_seconds=timeout
-    ) as client:
-        store = Store(client=client, timeout_seconds=timeout)
+    async with contextlib.AsyncExitStack() as stack:
+        client = await stack.enter_async_context(
+            KeyValueClient(base_url=platform["key_value_url"], timeout_seconds=timeout)
+        )
+        host_list = None
+        if platform["host_list_url"]:
+            host_list = await stack.enter_async_context(
+                HostListClient(base_url=platform["host_list_url"], timeout_seconds=timeout)
+            )
+        store = Store(client=client, timeout_seconds=timeout, host_list=host_list)
         context = Context(arguments, settings["ctl"], store, progress)
         chosen: Verb = arguments.verb
         return await chosen.run(context)
--- a/filbertreach/ctl/_acceptance.py
+++ b/filbertreach/ctl/_acceptance.py
@@ -82,6 +82,7 @@
         environment: str,
         settings: CtlSection,
         report: Callable[[str], None],
+        excused: frozenset[str] = frozenset(),
         clock: Clock | None = None,
     ) -> None:
         """Prepares the exchange.
@@ -92,6 +93,7 @@
             environment: Environment name.
             settings: Section `ctl` with its defaults.
             report: Receives lines of progress.
+            excused: Hosts that are not waited for if they have no record.
             clock: Source of elapsed time; the system's by default.
         """
         self._store = store
@@ -101,6 +103,7 @@
         self._confirm_seconds = settings["confirm_seconds"]
         self._poll_seconds = settings["poll_seconds"]
         self._report = report
+        self._excused = excused
         self._clock = clock or SystemClock()
         self._lease: Lease | None = None
 
@@ -237,7 +240,7 @@
             hosts: Hosts | None = None
             try:
                 await self._keep_lease()
-                hosts = await read_hosts(self._store)
+                hosts = await read_hosts(self._store, excused=self._excused)
                 await self._check_proposal_is_there(proposal)
                 missing = hosts.not_prepared(self._environment, proposal["digest"])
                 if (hosts.record_by_host or bootstrap) and not missing:
@@ -267,16 +270,17 @@
     def _not_confirmed(self, hosts: Hosts | None, proposal: Proposal) -> RefusedError:
         if hosts is None:
             return RefusedError("not accepted: the platform did not answer in time")
-        if not hosts.record_by_host:
+        if not hosts.names():
             return RefusedError(
                 "not accepted: no host is registered, so nothing would confirm; start the agents, "
                 "or add --bootstrap for an installation without hosts"
             )
         missing = hosts.not_prepared(self._environment, proposal["digest"])
         return RefusedError(
-            f"not accepted: {len(missing)} of {len(hosts.record_by_host)} hosts have not confirmed "
+            f"not accepted: {len(missing)} of {len(hosts.names())} hosts have not confirmed "
             f"within {self._confirm_seconds:g} s: {', '.join(missing)}. "
-            "Run the command again when they can reach the platform",
+            "Run the command again when they can reach the platform"
+            + _hint_for(hosts.without_record),
             data={"not_confirmed": missing},
         )
 
@@ -455,8 +459,18 @@
         )
 
 
+def _hint_for(without_record: frozenset[str]) -> str:
+    if not without_record:
+        return ""
+    names = ", ".join(sorted(without_record))
+    return (
+        f". The platform lists {names} as live but without agent; if you know that a host is down, "
+        "add --without HOST"
+    )
+
+
 def _confirmation_progress(hosts: Hosts, missing: list[str]) -> str:
-    total = len(hosts.record_by_host)
+    total = len(hosts.names())
     if not total:
         return "no host is registered"
     return f"{total - len(missing)} of {total} hosts have confirmed" + (
--- a/filbertreach/ctl/_context.py
+++ b/filbertreach/ctl/_context.py
@@ -47,6 +47,10 @@
         except AccessError as error:
             raise RefusedError(f"access refused: {error}") from None
 
+    def excused(self) -> frozenset[str]:
+        """Returns the hosts that the command does not wait for."""
+        return frozenset(getattr(self.arguments, "without", []))
+
     def keys(self) -> dict[str, bytes] | None:
         """Reads the keys of all operators.
 
--- a/filbertreach/ctl/_gates.py
+++ b/filbertreach/ctl/_gates.py
@@ -101,7 +101,7 @@
             f"not accepted: this text did not run in {trial}; apply it there first. "
             f"'filbertreach-ctl diff {trial} FILE' shows what differs"
         )
-    hosts = await read_hosts(context.store)
+    hosts = await read_hosts(context.store, excused=context.excused())
     record = await record_trial(context, accepted, hosts)
     if record is None:
         behind = hosts.behind(trial, accepted["generation"])
--- a/filbertreach/ctl/_hosts.py
+++ b/filbertreach/ctl/_hosts.py
@@ -16,14 +16,21 @@
 
     record_by_host: dict[str, HostRecord]
     """Record by host name."""
+    without_record: frozenset[str] = frozenset()
+    """Hosts that the platform lists as live but that have no record: cut off, or without agent."""
+
+    def names(self) -> list[str]:
+        """Returns every host that must confirm, in order."""
+        return sorted(self.record_by_host.keys() | self.without_record)
 
     def not_prepared(self, environment: str, digest: str) -> list[str]:
         """Returns the hosts that have not confirmed a proposal, in order."""
-        return sorted(
+        missing = {
             host
             for host, record in self.record_by_host.items()
             if record.get("prepared", {}).get(environment) != digest
-        )
+        }
+        return sorted(missing | self.without_record)
 
     def in_force(self, host: str, environment: str) -> InForce | None:
         """Returns what a host has in force, or None if it has not said."""
@@ -31,16 +38,17 @@
 
     def behind(self, environment: str, generation: int) -> list[str]:
         """Returns the hosts that do not have a generation or a later one in force, in order."""
-        found = []
-        for host in sorted(self.record_by_host):
+        found = set(self.without_record)
+        for host in self.record_by_host:
             in_force = self.in_force(host, environment)
             if in_force is None or in_force["generation"] < generation:
-                found.append(host)
-        return found
+                found.add(host)
+        return sorted(found)
 
     def not_heard(self, accepted: Accepted) -> list[str]:
-        """Returns the hosts that confirmed the accepted document but have no record now."""
-        return sorted(set(accepted["hosts"]) - self.record_by_host.keys())
+        """Returns the hosts without a record that had confirmed or are listed as live, in order."""
+        expected = self.without_record.union(accepted["hosts"])
+        return sorted(expected - self.record_by_host.keys())
 
 
 class InForceWait(NamedTuple):
@@ -52,11 +60,12 @@
     """Hosts without the generation; empty if it is in force on every registered host."""
 
 
-async def read_hosts(store: Store) -> Hosts:
+async def read_hosts(store: Store, *, excused: frozenset[str] = frozenset()) -> Hosts:
     """Reads all host records.
 
     Args:
         store: Access to the key-value service.
+        excused: Hosts that need no record, although the platform lists them as live.
 
     Returns:
         The records.
@@ -69,7 +78,8 @@
         key.removeprefix(HOSTS_PREFIX): stored.value  # type: ignore[misc]
         for key, stored in found.items()
     }
-    return Hosts(records)
+    live = await store.live_hosts()
+    return Hosts(records, live - records.keys() - excused)
 
 
 async def wait_in_force(
@@ -80,6 +90,7 @@
     poll_seconds: float,
     clock: Clock,
     report: Callable[[str], None],
+    excused: frozenset[str] = frozenset(),
 ) -> InForceWait:
     """Waits until every registered host has a generation in force.
 
@@ -90,6 +101,7 @@
         poll_seconds: Time between two looks.
         clock: Source of elapsed time.
         report: Receives lines of progress.
+        excused: Hosts that need no record.
 
     Returns:
         The last state seen.
@@ -100,9 +112,9 @@
     shown = ""
     while True:
         try:
-            hosts = await read_hosts(store)
+            hosts = await read_hosts(store, excused=excused)
             behind = hosts.behind(record["environment"], record["generation"])
-            total = len(hosts.record_by_host)
+            total = len(hosts.names())
             progress = (
                 f"generation {record['generation']} in force on "
                 f"{total - len(behind)} of {total} hosts"
--- a/filbertreach/ctl/_store.py
+++ b/filbertreach/ctl/_store.py
@@ -11,6 +11,7 @@
 from filbertreach.ctl._records import encode
 from filbertreach.platform import (
     ConflictError,
+    HostListClient,
     KeyNotFoundError,
     KeyValueClient,
     Lease,
@@ -51,14 +52,22 @@
 class Store:
     """Typed calls; reads are retried, writes are tried once."""
 
-    def __init__(self, *, client: KeyValueClient, timeout_seconds: float) -> None:
-        """Keeps the client.
+    def __init__(
+        self,
+        *,
+        client: KeyValueClient,
+        timeout_seconds: float,
+        host_list: HostListClient | None = None,
+    ) -> None:
+        """Keeps the clients.
 
         Args:
             client: An entered client.
+            host_list: An entered client of the host list, or None to leave it out.
             timeout_seconds: Longest wait of the client for one answer.
         """
         self._client = client
+        self._host_list = host_list
         self.timeout_seconds = timeout_seconds
 
     async def read(self, key: str) -> Stored | None:
@@ -101,6 +110,23 @@
             for entry in result.unwrap().items_by_key.values()
         }
 
+    async def live_hosts(self) -> frozenset[str]:
+        """Reads which entry hosts the platform lists as live.
+
+        Returns:
+            Host names; empty if the host list is left out.
+
+        Raises:
+            UnavailableError: The platform does not answer.
+        """
+        if self._host_list is None:
+            return frozenset()
+        result = await self._repeated(self._host_list.list_hosts)
+        if not isinstance(result, Success):
+            raise UnavailableError(f"the host list does not answer: {result.failure()}")
+        hosts = result.unwrap().hosts_by_name.values()
+        return frozenset(h.host for h in hosts if h.kind == "entry" and h.state == "live")
+
     async def write(
         self,
         key: str,
--- a/filbertreach/ctl/_verbs_read.py
+++ b/filbertreach/ctl/_verbs_read.py
@@ -265,7 +265,7 @@
 ) -> None:
     name, generation = accepted["environment"], accepted["generation"]
     behind = hosts.behind(name, generation)
-    total = len(hosts.record_by_host)
+    total = len(hosts.names())
     lines.append(
         f"{name}: generation {generation}, accepted {accepted['accepted_at']} by "
         f"{accepted['operator']}: {accepted['reason']}"
--- a/filbertreach/ctl/_verbs_write.py
+++ b/filbertreach/ctl/_verbs_write.py
@@ -40,6 +40,14 @@
         help="longest wait, after acceptance, until it is in force everywhere; 0 does not wait "
         f"(default {_WAIT_SECONDS:g})",
     )
+    parser.add_argument(
+        "--without",
+        action="append",
+        default=[],
+        metavar="HOST",
+        help="don't wait for a host that is listed as live but that you know to be down; it must "
+        "not serve queries until it has reached the platform. May be given several times",
+    )
     parser.add_argument(
         "--bootstrap", action="store_true", help="accept although no host is registered yet"
     )
@@ -167,6 +175,7 @@
         environment=document.name,
         settings=context.settings,
         report=context.report,
+        excused=context.excused(),
     )
     accepted = await acceptance.run(
         text=text,
@@ -212,6 +221,7 @@
         poll_seconds=context.settings["poll_seconds"],
         clock=clock,
         report=context.report,
+        excused=context.excused(),
     )
     waited = clock.now() - started
     if result.hosts is None or result.behind:
@@ -223,9 +233,9 @@
         )
     if not document.trial:
         await record_trial(context, record, result.hosts)
-    hosts = len(result.hosts.record_by_host)
+    hosts = len(result.hosts.names())
     lines = [line, f"in force on {hosts} of {hosts} hosts, {waited:.1f} s after acceptance"]
     not_heard = result.hosts.not_heard(record)
-    lines += [f"not heard from since it confirmed: {host}" for host in not_heard]
+    lines += [f"has not been heard from: {host}" for host in not_heard]
     data = {**data, "in_force_seconds": round(waited, 3), "hosts": hosts}
     return Report(lines, {**data, "not_heard_from": not_heard}, ExitCode.DONE)
--- a/filbertreach/ctl/tests/test_command.py
+++ b/filbertreach/ctl/tests/test_command.py
@@ -349,6 +349,24 @@
     assert rig.read("filbertreach/environments/shop-trial/proposed") is None
 
 
+def test_live_host_without_agent_delays_acceptance_until_it_is_excused(rig):
+    place = {"region": "minho", "data_centre": "minho-1", "state": "live"}
+    hosts = [
+        {"host": name, "address": "127.0.0.1", "kind": kind, **place}
+        for name, kind in (("host-1", "entry"), ("host-9", "entry"), ("leaf-1", "backend"))
+    ]
+    with StandInProcess(module="host_list") as host_list:
+        host_list.control.request("PUT", "/admin/hosts", {"hosts": hosts})
+        settings = rig.settings("ana", confirm_seconds=1)
+        rig.write("ana.ini", f"{settings}host_list_url = {host_list.control.base_url}\n")
+        code, result = rig.apply("ana", _TEXT)
+        assert (code, result["not_confirmed"]) == (1, ["host-9"])
+        assert "--without HOST" in result["error"]
+        assert rig.apply("ana", _TEXT, "--without", "host-9")[0] == 0
+        status = rig.run("ana", "status", "shop-trial")[1]["environments"]["shop-trial"]
+        assert (status["behind"], status["not_heard_from"]) == (["host-9"], ["host-9"])
+
+
 def test_hosts_without_the_accepted_generation_are_named(rig):
     rig.installing = False
     code, result = rig.apply("ana", _TEXT, "--wait", "0.3")
--- a/filbertreach/schema/_generated_ctl.py
+++ b/filbertreach/schema/_generated_ctl.py
@@ -46,6 +46,10 @@
     """
     Base URL of the key-value service.
     """
+    host_list_url: NotRequired[str]
+    """
+    Base URL of the host list; a live entry host that is not registered then delays acceptance. Not asked if empty.
+    """
     timeout_seconds: NotRequired[float]
     """
     Longest wait for one answer of the platform, in seconds.
