--- /dev/null
+++ b/filbertreach/platform/tests/test_lease_keeper.py
@@ -0,0 +1,132 @@
+"""Guards against acting on a lease that may have lapsed."""
+
+import anyio
+import pytest
+
+from filbertreach.platform import KeyNotFoundError, KeyValueClient, LeaseKeeper
+from filbertreach.timing import SystemClock
+from filbertreach_standins import StandInProcess
+
+TTL_SECONDS = 2.0
+"""Long enough that a busy machine does not delay a renewal past it."""
+
+
+class JumpingClock(SystemClock):
+    """A clock that can show a pause of the process."""
+
+    offset = 0.0
+
+    def now(self):
+        return super().now() + self.offset
+
+
+@pytest.fixture(scope="module")
+def process():
+    with StandInProcess(module="key_value") as started:
+        yield started
+
+
+@pytest.fixture
+def control(process):
+    process.control.reset()
+    return process.control
+
+
+def run(control, body, ttl_seconds=TTL_SECONDS):
+    clock = JumpingClock()
+    events = []
+
+    async def main():
+        async with KeyValueClient(base_url=control.base_url, clock=clock) as client:
+
+            async def granted(lease):
+                events.append(("granted", lease.id))
+                (await client.put("held", lease.id, lease=lease.id)).unwrap()
+
+            async def lapsed(lease):
+                events.append(("lapsed", lease.id))
+
+            keeper = LeaseKeeper(
+                client=client, ttl_seconds=ttl_seconds, on_granted=granted, on_lapsed=lapsed
+            )
+            with anyio.fail_after(20):
+                async with keeper:
+                    first = await keeper.wait_held()
+                    await body(client, keeper, clock, first)
+        return events
+
+    return anyio.run(main)
+
+
+def test_a_lease_is_renewed_and_ends_with_the_keeper(control):
+    async def body(client, keeper, clock, first):
+        await anyio.sleep(TTL_SECONDS * 2)
+        assert keeper.lease.id == first.id
+        assert keeper.lease.lapses_at > first.lapses_at + TTL_SECONDS
+
+    events = run(control, body)
+    assert [kind for kind, _ in events] == ["granted"]
+    assert control.counters()["leases"] == control.counters()["keys"] == 0
+
+
+def test_a_pause_is_seen_before_anything_else_runs_and_reported_before_a_new_lease(control):
+    async def body(client, keeper, clock, first):
+        (await client.put("of first", "1", lease=first.id)).unwrap()
+        clock.offset = 60.0
+        assert keeper.lease is None
+        assert keeper.remaining_seconds == 0
+        second = await keeper.wait_held()
+        assert second.id != first.id
+        assert keeper.lapses == 1
+        # The keys of the old lease don't outlive the report, even while the service still held it.
+        assert isinstance((await client.get("of first")).failure(), KeyNotFoundError)
+        assert (await client.get("held")).unwrap().value == second.id
+
+    # With a long lease, the service has not let it expire when the keeper reports the lapse.
+    events = run(control, body, ttl_seconds=6.0)
+    assert [kind for kind, _ in events] == ["granted", "lapsed", "granted"]
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [{"outage": True}, {"outage": "reset"}, {"writes_per_second": 0}, {"expire_all_leases": True}],
+)
+def test_a_lease_that_is_not_renewed_is_reported(control, faults):
+    async def body(client, keeper, clock, first):
+        await anyio.to_thread.run_sync(lambda: control.set_faults(**faults))
+        while keeper.lapses == 0:
+            assert keeper.lease is None or keeper.lease.id == first.id
+            await anyio.sleep(0.01)
+        assert keeper.last_error is not None
+        await anyio.to_thread.run_sync(lambda: control.set_faults(**dict.fromkeys(faults)))
+        assert (await keeper.wait_held()).id != first.id
+
+    events = run(control, body)
+    assert [kind for kind, _ in events] == ["granted", "lapsed", "granted"]
+
+
+def test_a_renewal_answered_late_counts_from_when_it_was_sent(control):
+    async def body(client, keeper, clock, first):
+        # The answer takes so long that the renewed lease has only a little time left.
+        await anyio.to_thread.run_sync(lambda: control.set_faults(answer_delay_ms=700))
+        while (lease := keeper.lease) is None or lease.lapses_at == first.lapses_at:
+            await anyio.sleep(0.005)
+        assert keeper.remaining_seconds < TTL_SECONDS - 0.6
+
+    run(control, body)
+
+
+def test_a_keeper_begins_during_an_outage(control):
+    async def main():
+        control.set_faults(outage=True)
+        async with (
+            KeyValueClient(base_url=control.base_url) as client,
+            LeaseKeeper(client=client, ttl_seconds=TTL_SECONDS) as keeper,
+        ):
+            await anyio.sleep(0.2)
+            assert keeper.lease is None
+            await anyio.to_thread.run_sync(lambda: control.set_faults(outage=None))
+            with anyio.fail_after(10):
+                assert await keeper.wait_held()
+
+    anyio.run(main)
