Add hosts with agents to the local fleet

Cause: tests of guarantees need the real agents, entry and dispatch processes. Change: the fleet starts the platform's stand-ins, hosts and runs ctl.

--- a/filbertreach_standins/fleet.py
+++ b/filbertreach_standins/fleet.py
@@ -1,4 +1,4 @@
-"""A whole local fleet as processes on loopback: stand-ins, dispatch and entry processes."""
+"""A whole local fleet as processes on loopback: stand-ins and all daemons."""
 
 import contextlib
 import http.client
@@ -56,6 +56,9 @@
     """Additional options of the document's section [policy]."""
     leaf: dict[str, Any] = {}
     """Additional properties of the leaves."""
+    hosts: int = 0
+    """Hosts with an agent, an entry and a dispatch process each, which learn documents and members
+    from the platform's stand-ins. 0: no agents; `dispatchers` and `entries` use a fixed view."""
 
 
 def free_address() -> str:
@@ -138,6 +141,20 @@
             time.sleep(0.02)
         raise FleetError(f"{self.name} did not become ready: {self.log.read_text()[-2000:]}")
 
+    def wait_listening(self) -> None:
+        """Waits until the HTTP interface answers, ready or not.
+
+        Raises:
+            FleetError: The process ended or does not listen.
+        """
+        until = time.monotonic() + READY_SECONDS
+        while time.monotonic() < until:
+            with contextlib.suppress(OSError):
+                self.get("/livez")
+                return
+            time.sleep(0.02)
+        raise FleetError(f"{self.name} does not listen: {self.log.read_text()[-2000:]}")
+
     def get(self, path: str) -> tuple[int, bytes]:
         """Sends a GET request to the HTTP interface.
 
@@ -248,7 +265,10 @@
         self.leaves_by_id: dict[str, StandInControl] = {}
         self.dispatchers: list[DaemonProcess] = []
         self.entries: list[DaemonProcess] = []
+        self.agents: list[DaemonProcess] = []
         self.document = ""
+        self.key_value: StandInControl | None = None
+        self.host_list: StandInControl | None = None
 
     def __enter__(self) -> Self:
         """Starts all processes and waits until they are ready."""
@@ -305,6 +325,12 @@
         self.document = self.make_document()
         document_file = self.folder / "document.ini"
         document_file.write_text(self.document, encoding="utf-8")
+        if self.options.hosts:
+            self._start_hosts(document_file)
+        else:
+            self._start_fixed(document_file)
+
+    def _start_fixed(self, document_file: pathlib.Path) -> None:
         self.dispatchers = [
             self._daemon("dispatch", f"dispatch-{number}")
             for number in range(self.options.dispatchers)
@@ -323,6 +349,123 @@
         for daemon in [*self.dispatchers, *self.entries]:
             daemon.wait_ready()
 
+    def _start_hosts(self, document_file: pathlib.Path) -> None:
+        for module in ("key_value", "host_list"):
+            process = self._stack.enter_context(StandInProcess(module=module))
+            setattr(self, module, process.control)
+        assert self.key_value is not None and self.host_list is not None
+        names = [f"host-{number}" for number in range(self.options.hosts)]
+        self.set_host_list(names)
+        for name in names:
+            self.add_host(name)
+        for agent in self.agents:
+            agent.wait_listening()
+        self.ctl("apply", str(document_file), "--reason", "first document", "--wait", "30")
+        for daemon in [*self.agents, *self.dispatchers, *self.entries]:
+            daemon.wait_ready()
+
+    def set_host_list(self, names: list[str], leaving: frozenset[str] = frozenset()) -> None:
+        """Sets the platform's host list.
+
+        Args:
+            names: Entry hosts.
+            leaving: Those of them that are leaving.
+        """
+        assert self.host_list is not None
+        hosts = [
+            {
+                "host": name,
+                "address": "127.0.0.1",
+                "region": "minho",
+                "data_centre": "minho-1",
+                "kind": "entry",
+                "state": "leaving" if name in leaving else "live",
+            }
+            for name in names
+        ]
+        self.host_list.request("PUT", "/admin/hosts", {"hosts": hosts})
+
+    def add_host(self, name: str) -> None:
+        """Starts the three daemons of a host without waiting for them.
+
+        Args:
+            name: Host name.
+        """
+        agent = self._daemon("agent", f"{name}-agent")
+        agent.settings["agent"] = {
+            **agent.settings.get("agent", {}),
+            "seeds": " ".join(other.inbox for other in self.agents[:3]),
+        }
+        dispatcher = self._daemon("dispatch", f"{name}-dispatch")
+        entry = self._daemon("entry", f"{name}-entry")
+        self.agents.append(agent)
+        self.dispatchers.append(dispatcher)
+        self.entries.append(entry)
+        for daemon in (agent, dispatcher, entry):
+            daemon.settings["process"]["host"] = name
+            daemon.settings["platform"] = self._platform_settings()
+            if daemon is not agent:
+                daemon.settings["view"] = {"agent": agent.inbox}
+            self._stack.callback(daemon.stop)
+            daemon.start()
+
+    def _platform_settings(self) -> dict[str, str]:
+        assert self.key_value is not None and self.host_list is not None
+        return {
+            "key_value_url": self.key_value.base_url,
+            "host_list_url": self.host_list.base_url,
+            "timeout_seconds": "1",
+        }
+
+    def ctl(
+        self, *arguments: str, operator: str = "ana", check: bool = True
+    ) -> subprocess.CompletedProcess[str]:
+        """Runs filbertreach-ctl against the fleet's platform.
+
+        Args:
+            *arguments: Verb and its arguments.
+            operator: Operator whose key is used.
+            check: Whether a non-zero exit code is an error.
+
+        Returns:
+            The finished command with its output.
+
+        Raises:
+            FleetError: The command failed although `check` is set.
+        """
+        settings = self._ctl_settings(operator)
+        done = subprocess.run(
+            [sys.executable, "-m", "filbertreach.ctl", *arguments, "--settings", str(settings)],
+            capture_output=True,
+            text=True,
+            cwd=_ROOT,
+            check=False,
+            timeout=READY_SECONDS * 3,
+        )
+        if check and done.returncode != 0:
+            raise FleetError(f"ctl {arguments}: {done.returncode}\n{done.stdout}{done.stderr}")
+        return done
+
+    def _ctl_settings(self, operator: str) -> pathlib.Path:
+        folder = self.folder / "ctl"
+        folder.mkdir(exist_ok=True)
+        keys = folder / "operators"
+        if not keys.exists():
+            names = ("ana", "rui")
+            keys.touch(mode=0o600)
+            keys.write_text("".join(f"{name} {name * 12}\n" for name in names))
+            for name in names:
+                key = folder / f"{name}.key"
+                key.touch(mode=0o600)
+                key.write_text(f"{name * 12}\n")
+        settings = folder / f"{operator}.ini"
+        platform = "\n".join(f"{k} = {v}" for k, v in self._platform_settings().items())
+        settings.write_text(
+            f"[ctl]\noperator = {operator}\nkey_file = {folder / operator}.key\n"
+            f"keys_file = {keys}\n[platform]\n{platform}\n"
+        )
+        return settings
+
     def _daemon(self, program: str, name: str) -> DaemonProcess:
         settings = {section: dict(values) for section, values in self.options.settings.items()}
         return DaemonProcess(program=program, name=name, folder=self.folder, settings=settings)
