--- a/filbertreach/ctl/__main__.py
+++ b/filbertreach/ctl/__main__.py
@@ -12,7 +12,7 @@
 from filbertreach import __version__
 from filbertreach.ctl import _verbs_calls, _verbs_read, _verbs_write
 from filbertreach.ctl._context import Context
-from filbertreach.ctl._errors import CtlError, ExitCode, UsageError
+from filbertreach.ctl._errors import CtlError, ExitCode, UnavailableError, UsageError
 from filbertreach.ctl._registry import Verb, verb_by_name
 from filbertreach.ctl._report import Report, print_error, print_report, progress
 from filbertreach.ctl._store import Store
@@ -24,6 +24,8 @@
 """Imported because their verbs register themselves."""
 _SETTINGS_VARIABLE = "FILBERTREACH_CTL_SETTINGS"
 _DEFAULT_SETTINGS = "/etc/filbertreach/ctl.ini"
+_NOT_DONE = ("not accepted", "not recorded")
+"""Starts of messages that say already what was not done."""
 _EPILOG = f"""\
 exit codes:
   0  done
@@ -73,8 +75,16 @@
             )
         store = Store(client=client, timeout_seconds=timeout, host_list=host_list)
         context = Context(arguments, settings["ctl"], store, progress)
-        chosen: Verb = arguments.verb
-        return await chosen.run(context)
+        return await _run_verb(arguments.verb, context)
+
+
+async def _run_verb(verb: Verb, context: Context) -> Report:
+    try:
+        return await verb.run(context)
+    except UnavailableError as error:
+        if not verb.writes or str(error).startswith(_NOT_DONE):
+            raise
+        raise UnavailableError(f"nothing was changed by this run: {error}") from None
 
 
 def _settings(arguments: argparse.Namespace) -> CtlSettings:
--- a/filbertreach/ctl/_gates.py
+++ b/filbertreach/ctl/_gates.py
@@ -4,7 +4,7 @@
 from filbertreach.ctl._access import signature_is_valid
 from filbertreach.ctl._calls import uncalled_by_change
 from filbertreach.ctl._context import Context, parsed
-from filbertreach.ctl._errors import RefusedError
+from filbertreach.ctl._errors import RefusedError, UnavailableError
 from filbertreach.ctl._hosts import Hosts, read_hosts
 from filbertreach.ctl._records import (
     Accepted,
@@ -141,7 +141,7 @@
     try:
         key = trial_key(environment, record["digest"])
         await context.store.write(key, record, expected=0)
-    except (RevisionChangedError, AnswerLostError):
+    except (RevisionChangedError, AnswerLostError, UnavailableError):
         # A record is there already, or the next look writes it.
         return record
     return record
--- a/filbertreach/ctl/_verbs_calls.py
+++ b/filbertreach/ctl/_verbs_calls.py
@@ -115,10 +115,16 @@
         state += " (an earlier call announced another time or subject)"
     return [
         f"  {slowdown.client}  {slowdown.contact or 'no contact written'}  {state}",
-        f"    p99 {_ratio(slowdown.ratio)} times as long: {slowdown.reason}",
+        f"    {_describe(slowdown.ratio)}: {slowdown.reason}",
     ]
 
 
+def _describe(ratio: float) -> str:
+    if math.isinf(ratio):
+        return "no bound for p99, the load does not fit"
+    return f"p99 about {ratio:.2f} times as long"
+
+
 def _ratio(ratio: float) -> str:
     return "unbounded" if math.isinf(ratio) else f"{ratio:.2f}"
 
@@ -134,7 +140,9 @@
     return await read_call_records(context, context.arguments.environment)
 
 
-@verb("record-call", help="record that a client was called", arguments=_record_arguments)
+@verb(
+    "record-call", help="record that a client was called", arguments=_record_arguments, writes=True
+)
 async def record_call(context: Context) -> Report:
     """Records that a client was told of a planned change.
 
@@ -165,7 +173,12 @@
     return Report(lines, {"recorded": client, "record": record, "to_call": waiting})
 
 
-@verb("override", help="let a change start without its calls", arguments=_override_arguments)
+@verb(
+    "override",
+    help="let a change start without its calls",
+    arguments=_override_arguments,
+    writes=True,
+)
 async def override(context: Context) -> Report:
     """Lets a planned change start although clients were not called.
 
--- a/filbertreach/ctl/_verbs_write.py
+++ b/filbertreach/ctl/_verbs_write.py
@@ -97,7 +97,7 @@
     _add_common(parser)
 
 
-@verb("apply", help="make a file the accepted document", arguments=_apply_arguments)
+@verb("apply", help="make a file the accepted document", arguments=_apply_arguments, writes=True)
 async def apply(context: Context) -> Report:
     """Proposes the file to every host, waits for all of them to confirm it, and accepts it.
 
@@ -119,7 +119,12 @@
     return await _accept(context, document, text, context.arguments.reason, lines)
 
 
-@verb("promote", help="take a text from trial to production", arguments=_promote_arguments)
+@verb(
+    "promote",
+    help="take a text from trial to production",
+    arguments=_promote_arguments,
+    writes=True,
+)
 async def promote(context: Context) -> Report:
     """Makes the text that runs in the trial environment the accepted production document.
 
@@ -144,7 +149,12 @@
     return await _accept(context, document, text, reason, lines)
 
 
-@verb("roll-forward", help="an earlier text as a new generation", arguments=_roll_forward_arguments)
+@verb(
+    "roll-forward",
+    help="an earlier text as a new generation",
+    arguments=_roll_forward_arguments,
+    writes=True,
+)
 async def roll_forward(context: Context) -> Report:
     """Makes the text of an earlier generation the accepted document, under a new generation.
 
@@ -234,7 +244,7 @@
     if not document.trial:
         await record_trial(context, record, result.hosts)
     hosts = len(result.hosts.names())
-    lines = [line, f"in force on {hosts} of {hosts} hosts, {waited:.1f} s after acceptance"]
+    lines = [f"{line}; in force on {hosts} of {hosts} hosts, {waited:.1f} s after acceptance"]
     not_heard = result.hosts.not_heard(record)
     lines += [f"has not been heard from: {host}" for host in not_heard]
     data = {**data, "in_force_seconds": round(waited, 3), "hosts": hosts}
--- a/filbertreach/ctl/tests/test_command.py
+++ b/filbertreach/ctl/tests/test_command.py
@@ -337,6 +337,7 @@
         code, result = rig.run("ana", *command)
         assert code == 4
         assert "does not answer" in result["error"]
+        assert command[0] == "status" or "by this run" in result["error"]
     rig.control.set_faults(outage=None)
     assert rig.generations() == []
 
@@ -441,3 +442,21 @@
     code, result = rig.run("ana", *arguments)
     assert code == 2
     assert expected in result["error"]
+
+
+def test_help_and_validation_need_neither_settings_nor_platform(tmp_path):
+    environment = {k: v for k, v in os.environ.items() if k != "FILBERTREACH_CTL_SETTINGS"}
+    (tmp_path / "draft.ini").write_text(_TEXT)
+
+    def run(*arguments):
+        command = [sys.executable, "-m", "filbertreach.ctl", *arguments]
+        return subprocess.run(command, env=environment, capture_output=True, text=True, check=False)
+
+    assert "exit codes:" in run("--help").stdout
+    for verb in ("apply", "promote", "roll-forward", "override", "record-call", "calls"):
+        assert run(verb, "--help").returncode == 0
+        assert run(verb).returncode == 2
+    assert run("--version").stdout.startswith("filbertreach-ctl ")
+    found = run("validate", str(tmp_path / "draft.ini"))
+    assert (found.returncode, found.stderr) == (0, "")
+    assert "1 services, 2 leaves" in found.stdout
