Move the messages of a refused acceptance to a module of their own

Cause: the module of the exchange held both its steps and its texts. Change: filbertreach.ctl._outcomes; a test that an interrupted command withdraws its proposal.

--- a/filbertreach/ctl/_acceptance.py
+++ b/filbertreach/ctl/_acceptance.py
@@ -12,12 +12,18 @@
 
 from filbertreach.ctl._access import Operator
 from filbertreach.ctl._errors import (
-    ConflictError,
     RefusedError,
     UnavailableError,
-    UnknownOutcomeError,
 )
 from filbertreach.ctl._hosts import Hosts, read_hosts
+from filbertreach.ctl._outcomes import (
+    accepted_conflict,
+    confirmation_progress,
+    not_confirmed,
+    proposal_conflict,
+    replaced,
+    unknown_outcome,
+)
 from filbertreach.ctl._records import (
     Accepted,
     Proposal,
@@ -37,7 +43,7 @@
     Store,
     Stored,
 )
-from filbertreach.document import MAX_DOCUMENT_BYTES, diff_documents, parse_document
+from filbertreach.document import MAX_DOCUMENT_BYTES
 from filbertreach.platform import Lease
 from filbertreach.schema import CtlSection
 from filbertreach.timing import Clock, SystemClock
@@ -53,8 +59,6 @@
 hosts still hold the proposal when it takes effect."""
 _WITHDRAW_SECONDS = 3.0
 """Longest wait for the removal of a proposal; its lease removes it otherwise."""
-_SHOWN_DIFFERENCES = 20
-"""Lines of differences in an error; `diff` prints all."""
 
 _LEASE_ENDED = (
     "not accepted: the proposal's lease ended while this command was paused or cut off from the "
@@ -176,7 +180,7 @@
             if earlier is not None:
                 return earlier
             if base is not None and base != generation:
-                raise self._base_conflict(previous, base, text)
+                raise accepted_conflict(previous, text)
             if proposal is None or proposal["generation"] != generation + 1:
                 proposal = self._make_proposal(text=text, reason=reason, generation=generation + 1)
                 await self._backfill_history(previous)
@@ -228,7 +232,7 @@
             if present.value["request"] == proposal["request"]:
                 self._report("an earlier run of this command is still proposing; waiting for it")
                 return None
-            raise self._proposal_conflict(present, proposal["text"]) from None
+            raise proposal_conflict(present, proposal["text"]) from None
         self._report(f"proposed generation {proposal['generation']} of {self._environment}")
         return revision
 
@@ -245,7 +249,7 @@
                 missing = hosts.not_prepared(self._environment, proposal["digest"])
                 if (hosts.record_by_host or bootstrap) and not missing:
                     return sorted(hosts.record_by_host)
-                progress = _confirmation_progress(hosts, missing)
+                progress = confirmation_progress(hosts, missing)
             except UnavailableError as error:
                 if self._lease_left() <= 0:
                     raise UnavailableError(
@@ -256,7 +260,7 @@
                 self._report(progress)
                 shown = progress
             if self._clock.now() > give_up:
-                raise self._not_confirmed(hosts, proposal)
+                raise not_confirmed(hosts, proposal, self._confirm_seconds)
             await anyio.sleep(self._poll_seconds)
 
     async def _check_proposal_is_there(self, proposal: Proposal) -> None:
@@ -264,26 +268,9 @@
         if present is not None and present.value["digest"] == proposal["digest"]:
             return
         if present is not None:
-            raise self._proposal_conflict(present, proposal["text"])
+            raise proposal_conflict(present, proposal["text"])
         raise RefusedError(_LEASE_ENDED)
 
-    def _not_confirmed(self, hosts: Hosts | None, proposal: Proposal) -> RefusedError:
-        if hosts is None:
-            return RefusedError("not accepted: the platform did not answer in time")
-        if not hosts.names():
-            return RefusedError(
-                "not accepted: no host is registered, so nothing would confirm; start the agents, "
-                "or add --bootstrap for an installation without hosts"
-            )
-        missing = hosts.not_prepared(self._environment, proposal["digest"])
-        return RefusedError(
-            f"not accepted: {len(missing)} of {len(hosts.names())} hosts have not confirmed "
-            f"within {self._confirm_seconds:g} s: {', '.join(missing)}. "
-            "Run the command again when they can reach the platform"
-            + _hint_for(hosts.without_record),
-            data={"not_confirmed": missing},
-        )
-
     async def _swap(
         self, proposal: Proposal, previous: Stored | None, hosts: list[str]
     ) -> Accepted:
@@ -332,12 +319,12 @@
         try:
             present = await self._store.read(accepted_key(self._environment))
         except UnavailableError:
-            raise self._unknown(record) from None
+            raise unknown_outcome(record) from None
         if present is not None and present.value["digest"] == record["digest"]:
             # The stored copy may be of an earlier attempt with another accepted_at.
             stored: Accepted = present.value  # type: ignore[assignment]
             return stored
-        raise self._accepted_conflict(present, record["text"])
+        raise accepted_conflict(present, record["text"])
 
     async def _settle(self, record: Accepted, previous: Stored | None) -> Accepted:
         """Finds out whether a swap took effect, and makes sure that it can't do so later."""
@@ -351,7 +338,7 @@
                 if present is not None and (
                     previous is None or present.revision != previous.revision
                 ):
-                    raise self._accepted_conflict(present, record["text"])
+                    raise accepted_conflict(present, record["text"])
                 if previous is not None:
                     # Writing the old value again takes the revision that a delayed swap expects.
                     await self._store.write(key, previous.value, expected=previous.revision)
@@ -362,16 +349,7 @@
             except (UnavailableError, AnswerLostError, RevisionChangedError):
                 pass
             await anyio.sleep(self._poll_seconds)
-        raise self._unknown(record)
-
-    def _unknown(self, record: Accepted) -> UnknownOutcomeError:
-        return UnknownOutcomeError(
-            f"unknown: generation {record['generation']} of {self._environment} may or may not be "
-            "accepted, the platform stopped answering. Run the same command again when the "
-            "platform answers: it does not apply twice. Or look with "
-            f"'filbertreach-ctl status {self._environment}' for request {record['request'][:12]}",
-            data={"generation": record["generation"], "request": record["request"]},
-        )
+        raise unknown_outcome(record)
 
     async def _withdraw(self, revision: int) -> None:
         """Removes the proposal. It is bound to the lease, so a failure only delays this."""
@@ -417,81 +395,7 @@
             if stored.value["request"] != request:
                 continue
             if generation != newest:
-                raise self._replaced(generation, previous)
+                raise replaced(generation, previous)
             accepted: Accepted = stored.value  # type: ignore[assignment]
             return AcceptedText(record=accepted, repeated=True)
         return None
-
-    def _replaced(self, generation: int, newest: Stored) -> ConflictError:
-        value = newest.value
-        return ConflictError(
-            f"not applied again: this command already took effect as generation {generation}, and "
-            f"{value['operator']} replaced it by generation {value['generation']} "
-            f"({value['reason']}). To put it in force once more add --base {value['generation']}",
-            data={"took_effect_as": generation, "accepted": _summary(newest)},
-        )
-
-    def _base_conflict(self, previous: Stored | None, base: int, text: str) -> ConflictError:
-        if previous is None:
-            return ConflictError(
-                f"not accepted: there is no generation {base} yet; leave out --base"
-            )
-        return self._accepted_conflict(previous, text)
-
-    def _accepted_conflict(self, present: Stored | None, text: str) -> ConflictError:
-        if present is None:
-            return ConflictError("not accepted: the accepted document was removed")
-        value = present.value
-        return ConflictError(
-            f"not accepted: {value['operator']} was first with generation {value['generation']}, "
-            f"accepted {value['accepted_at']} ({value['reason']})",
-            lines=_differences(value["text"], text),
-            data={"accepted": _summary(present)},
-        )
-
-    def _proposal_conflict(self, present: Stored, text: str) -> ConflictError:
-        value = present.value
-        return ConflictError(
-            f"not accepted: {value['operator']} was first and is proposing generation "
-            f"{value['generation']} since {value['proposed_at']} ({value['reason']})",
-            lines=_differences(value["text"], text),
-            data={"proposed": _summary(present)},
-        )
-
-
-def _hint_for(without_record: frozenset[str]) -> str:
-    if not without_record:
-        return ""
-    names = ", ".join(sorted(without_record))
-    return (
-        f". The platform lists {names} as live but without agent; if you know that a host is down, "
-        "add --without HOST"
-    )
-
-
-def _confirmation_progress(hosts: Hosts, missing: list[str]) -> str:
-    total = len(hosts.names())
-    if not total:
-        return "no host is registered"
-    return f"{total - len(missing)} of {total} hosts have confirmed" + (
-        f"; waiting for {', '.join(missing[:5])}" + (" ..." if len(missing) > 5 else "")
-        if missing
-        else ""
-    )
-
-
-def _summary(stored: Stored) -> dict[str, str]:
-    return {name: value for name, value in stored.value.items() if name != "text"}
-
-
-def _differences(theirs: str, ours: str) -> list[str]:
-    first = parse_document(text=theirs).value_or(None)
-    second = parse_document(text=ours).value_or(None)
-    if first is None or second is None:
-        return []
-    found = [str(item) for item in diff_documents(first, second)]
-    if not found:
-        return ["both texts mean the same"]
-    more = len(found) - _SHOWN_DIFFERENCES
-    shown = [f"  {line}" for line in found[:_SHOWN_DIFFERENCES]]
-    return ["from that text to yours:", *shown] + ([f"  and {more} more"] if more > 0 else [])
--- a/filbertreach/ctl/tests/test_command.py
+++ b/filbertreach/ctl/tests/test_command.py
@@ -402,6 +402,19 @@
     assert rig.read("filbertreach/environments/shop-trial/accepted") is None
 
 
+def test_interrupted_command_withdraws_its_proposal(rig):
+    rig.confirming = False
+    process = rig.start("ana", "apply", rig.write("a.ini", _TEXT), "--reason", "x")
+    key = "filbertreach/environments/shop-trial/proposed"
+    rig.wait_for(lambda: rig.read(key))
+    process.send_signal(signal.SIGINT)
+    _, errors = process.communicate(timeout=_LIMIT_SECONDS)
+    assert process.returncode == 5
+    assert "interrupted: 'filbertreach-ctl status' shows" in errors
+    assert rig.read(key) is None
+    assert rig.read("filbertreach/environments/shop-trial/accepted") is None
+
+
 @pytest.mark.parametrize(
     ("name", "text", "mode", "expected"),
     [
