--- a/filbertreach_standins/agent_fleet.py
+++ b/filbertreach_standins/agent_fleet.py
@@ -216,7 +216,13 @@
 
     async def record(self, host: str) -> dict[str, Any]:
         """Returns a host's record in the key-value service, empty if there is none."""
-        result = await self.client.get(f"filbertreach/hosts/{host}")
+        key = f"filbertreach/hosts/{host}"
+        # A watch is not affected by stale reads, nor a get by stalled watches.
+        watched = await self.client.watch(key, 0, 0.0)
+        for event in watched.map(lambda batch: batch.events).value_or(()):
+            if event.key == key:
+                return dict(json.loads(event.value)) if event.value is not None else {}
+        result = await self.client.get(key)
         return result.map(lambda item: dict(json.loads(item.value))).value_or({})
 
 
