--- a/filbertreach/dispatch/_leaf_link.py
+++ b/filbertreach/dispatch/_leaf_link.py
@@ -229,6 +229,10 @@
                 attempt = connection.attempt
                 assert attempt is not None
                 connection.attempt = None
+                if http.has_expired():
+                    # The leaf closed the idle connection; a request on it might be lost.
+                    await _close(http)
+                    http = new_connection(self.leaf)
                 if not await self._serve(http, attempt):
                     CONNECTIONS_REPLACED.inc()
                     await _close(http)
