Replace the connection of a silent peer

Cause: after a cut, both directions of an idle link kept connections that swallow data, so that the two peers stayed silent for each other although new connections work. If only one direction swallows data and that side has nothing to send, it still does not notice.

--- a/filbertreach/transport/_transport.py
+++ b/filbertreach/transport/_transport.py
@@ -274,6 +274,9 @@
                 await self._send_waiting(peer, socket)
             else:
                 await self._send(peer, socket, None)
+            if peer.state is PeerState.SILENT and now - opened_at > SILENCE_SECONDS:
+                # A connection that swallows data hides that the peer is back.
+                return
             oldest = peer.unacknowledged[0].sent_at if peer.unacknowledged else now
             if now - max(oldest, opened_at) > _REPLACE_CONNECTION_SECONDS:
                 return
--- a/filbertreach/transport/tests/test_transport.py
+++ b/filbertreach/transport/tests/test_transport.py
@@ -129,6 +129,37 @@
     anyio.run(run)
 
 
+def test_silent_peers_reach_each_other_again_when_their_connections_swallow_data():
+    async def run():
+        listens = [_free_address(), _free_address()]
+        events = [_Events(), _Events()]
+        async with Relay(target=listens[0]) as first, Relay(target=listens[1]) as second:
+            relays = [first, second]
+            near, far = (
+                Transport(
+                    name=f"peer-{number}",
+                    address=relays[number].address,
+                    listen_address=listens[number],
+                    incarnation=number + 1,
+                    events=events[number],
+                )
+                for number in (0, 1)
+            )
+            async with near, far:
+                near.keep({far.address})
+                far.keep({near.address})
+                await _until(lambda: near.is_reachable(far.address))
+                await _until(lambda: far.is_reachable(near.address))
+                # Neither side has anything to send, so that nothing stays unacknowledged.
+                first.silence()
+                second.silence()
+                await _until(lambda: events[0].lost and events[1].lost)
+                await _until(lambda: near.is_reachable(far.address))
+                await _until(lambda: far.is_reachable(near.address))
+
+    anyio.run(run)
+
+
 def test_delay_is_measured_against_the_fastest_recent_frame():
     estimator = DelayEstimator()
     cases = [(100.0, 5.0, 0.0), (101.0, 6.5, 0.5), (102.0, 6.9, 0.0), (103.0, 18.0, 10.1)]
