--- /dev/null
+++ b/tools/measure_control.py
@@ -0,0 +1,135 @@
+"""Measures what agents cost: calls on the key-value service, bytes between hosts, CPU, memory."""
+
+from __future__ import annotations
+
+import argparse
+import collections
+import json
+import os
+import pathlib
+import time
+from typing import NamedTuple
+
+import anyio
+import anyio.to_thread
+from returns.result import Success
+
+from filbertreach.agent import ENVIRONMENTS_PREFIX, digest_of
+from filbertreach_standins.agent_fleet import AgentFleet, HostProcess
+
+_SETTLE_SECONDS = 8.0
+_CHANGE_SECONDS = 15.0
+_POLL_SECONDS = 0.01
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+
+
+class _Sample(NamedTuple):
+    at: float
+    """Time in seconds."""
+    calls_by_kind: collections.Counter[str]
+    """Calls on the key-value service."""
+    host_bytes: int
+    """Bytes between agents, both directions, protocol overhead of NNG included."""
+    cpu_seconds: float
+    """CPU time of all agents."""
+    largest_bytes: int
+    """Largest resident set of an agent."""
+
+
+async def _sample(fleet: AgentFleet) -> _Sample:
+    counters = await anyio.to_thread.run_sync(fleet.key_value.counters)
+    cpu, largest = 0.0, 0
+    for host in fleet.slots:
+        folder = pathlib.Path(f"/proc/{fleet.process_id(host)}")
+        fields = (folder / "stat").read_text().rsplit(")", 1)[1].split()
+        cpu += (int(fields[11]) + int(fields[12])) / _TICKS_PER_SECOND
+        largest = max(largest, int((folder / "statm").read_text().split()[1]) * _PAGE_BYTES)
+    sent = sum(slot.inbox.bytes for slot in fleet.slots.values())
+    calls = collections.Counter(counters["calls"])
+    return _Sample(time.monotonic(), calls, sent, cpu, largest)
+
+
+def _document(generation: int, size: int) -> str:
+    head = f"[environment]\nname = shop\n; generation {generation}\n"
+    filler = "; " + "x" * 77 + "\n"
+    text = head + filler * max(0, (size - len(head)) // len(filler))
+    value = {
+        "environment": "shop",
+        "generation": generation,
+        "digest": digest_of(text),
+        "text": text,
+    }
+    return json.dumps(value)
+
+
+async def _put(fleet: AgentFleet, leaf: str, value: str) -> None:
+    result = await fleet.client.put(f"{ENVIRONMENTS_PREFIX}shop/{leaf}", value)
+    assert isinstance(result, Success), result
+
+
+async def _wait_ready(fleet: AgentFleet) -> None:
+    while not all([await fleet.is_ready(host) for host in fleet.slots]):
+        await anyio.sleep(0.2)
+
+
+async def _change(fleet: AgentFleet, process: HostProcess, size: int) -> float:
+    """Proposes and accepts generation 2; returns the seconds until one process has it."""
+    await _put(fleet, "proposed", _document(2, size))
+    await anyio.sleep(_CHANGE_SECONDS / 3)
+    await _put(fleet, "accepted", _document(2, size))
+    started = time.monotonic()
+    await fleet.client.delete(f"{ENVIRONMENTS_PREFIX}shop/proposed")
+    while process.view.environment_by_name["shop"].generation != 2:
+        await anyio.sleep(_POLL_SECONDS)
+    return time.monotonic() - started
+
+
+def _report(label: str, hosts: int, before: _Sample, after: _Sample, **more: float) -> None:
+    seconds = after.at - before.at
+    calls = after.calls_by_kind - before.calls_by_kind
+    line = {
+        "phase": label,
+        "hosts": hosts,
+        "seconds": round(seconds, 1),
+        "calls_per_host_per_s": round(calls.total() / seconds / hosts, 3),
+        "calls_per_s": round(calls.total() / seconds, 3),
+        "calls": dict(calls),
+        "bytes_per_host_per_s": round((after.host_bytes - before.host_bytes) / seconds / hosts),
+        "cpu_share_per_host": round((after.cpu_seconds - before.cpu_seconds) / seconds / hosts, 4),
+        "largest_mb": round(after.largest_bytes / 1e6, 1),
+        **more,
+    }
+    print(json.dumps(line), flush=True)
+
+
+async def _measure(hosts: int, seconds: float, size: int) -> None:
+    async with AgentFleet(hosts=hosts) as fleet:
+        await _put(fleet, "accepted", _document(1, size))
+        fleet.start()
+        await _wait_ready(fleet)
+        async with HostProcess(fleet=fleet, host="host-1") as process:
+            await anyio.sleep(_SETTLE_SECONDS)
+            before = await _sample(fleet)
+            await anyio.sleep(seconds)
+            after = await _sample(fleet)
+            _report("idle", hosts, before, after)
+            taken = await _change(fleet, process, size)
+            await anyio.sleep(_CHANGE_SECONDS * 2 / 3)
+            changed = await _sample(fleet)
+            _report("change", hosts, after, changed, in_force_seconds=round(taken, 3))
+
+
+def main() -> None:
+    """Measures fleets of the given sizes, one after the other."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--hosts", type=int, nargs="+", default=[2, 4, 8])
+    parser.add_argument("--seconds", type=float, default=30.0, help="idle time that is measured")
+    parser.add_argument("--document-bytes", type=int, default=20_000)
+    arguments = parser.parse_args()
+    for hosts in arguments.hosts:
+        anyio.run(_measure, hosts, arguments.seconds, arguments.document_bytes)
+
+
+if __name__ == "__main__":
+    main()
