--- a/filbertreach/ctl/tests/test_command.py
+++ b/filbertreach/ctl/tests/test_command.py
@@ -337,6 +337,7 @@
         code, result = rig.run("ana", *command)
         assert code == 4
         assert "does not answer" in result["error"]
+        assert command[0] == "status" or "by this run" in result["error"]
     rig.control.set_faults(outage=None)
     assert rig.generations() == []
 
@@ -401,6 +402,19 @@
     assert rig.read("filbertreach/environments/shop-trial/accepted") is None
 
 
+def test_interrupted_command_withdraws_its_proposal(rig):
+    rig.confirming = False
+    process = rig.start("ana", "apply", rig.write("a.ini", _TEXT), "--reason", "x")
+    key = "filbertreach/environments/shop-trial/proposed"
+    rig.wait_for(lambda: rig.read(key))
+    process.send_signal(signal.SIGINT)
+    _, errors = process.communicate(timeout=_LIMIT_SECONDS)
+    assert process.returncode == 5
+    assert "interrupted: 'filbertreach-ctl status' shows" in errors
+    assert rig.read(key) is None
+    assert rig.read("filbertreach/environments/shop-trial/accepted") is None
+
+
 @pytest.mark.parametrize(
     ("name", "text", "mode", "expected"),
     [
@@ -441,3 +455,21 @@
     code, result = rig.run("ana", *arguments)
     assert code == 2
     assert expected in result["error"]
+
+
+def test_help_and_validation_need_neither_settings_nor_platform(tmp_path):
+    environment = {k: v for k, v in os.environ.items() if k != "FILBERTREACH_CTL_SETTINGS"}
+    (tmp_path / "draft.ini").write_text(_TEXT)
+
+    def run(*arguments):
+        command = [sys.executable, "-m", "filbertreach.ctl", *arguments]
+        return subprocess.run(command, env=environment, capture_output=True, text=True, check=False)
+
+    assert "exit codes:" in run("--help").stdout
+    for verb in ("apply", "promote", "roll-forward", "override", "record-call", "calls"):
+        assert run(verb, "--help").returncode == 0
+        assert run(verb).returncode == 2
+    assert run("--version").stdout.startswith("filbertreach-ctl ")
+    found = run("validate", str(tmp_path / "draft.ini"))
+    assert (found.returncode, found.stderr) == (0, "")
+    assert "1 services, 2 leaves" in found.stdout
