Let the digest of a proposal name the proposal

Cause: ctl's digest covers the text and the time of the proposal, so that a confirmation of an abandoned proposal does not count for a later one. The agent compared it with the digest of the text alone and confirmed nothing: with three real agents ctl apply ended after 60 s with '0 of 3 hosts have confirmed'. Change: the agent copies the digest and no longer recomputes it.

--- a/filbertreach/agent/__init__.py
+++ b/filbertreach/agent/__init__.py
@@ -8,7 +8,6 @@
     DocumentValue,
     HostRecord,
     InForce,
-    digest_of,
     parse_document_value,
     parse_host_record,
 )
@@ -23,7 +22,6 @@
     "HostRecord",
     "InForce",
     "ValueFormatError",
-    "digest_of",
     "parse_document_value",
     "parse_host_record",
 ]
--- a/filbertreach/agent/_values.py
+++ b/filbertreach/agent/_values.py
@@ -1,6 +1,5 @@
 """Values that agents and operators exchange through the key-value service."""
 
-import hashlib
 from typing import NotRequired
 
 import msgspec
@@ -22,7 +21,8 @@
     generation: int
     """Generation; an accepted one only increases."""
     digest: str
-    """SHA-256 of the text's UTF-8 bytes, in hexadecimal."""
+    """Identifies one proposal. It covers the text and the time of the proposal, so that a
+    confirmation of an abandoned proposal does not count for a later one with the same text."""
     text: str
     """INI text."""
     operator: NotRequired[str]
@@ -69,11 +69,6 @@
     """Entry and dispatch processes of the host."""
 
 
-def digest_of(text: str) -> str:
-    """Returns the SHA-256 of the text's UTF-8 bytes, in hexadecimal."""
-    return hashlib.sha256(text.encode()).hexdigest()
-
-
 def parse_document_value(*, key: str, value: str) -> Result[DocumentValue, ValueFormatError]:
     """Reads the value of `/proposed` or `/accepted`.
 
@@ -92,8 +87,6 @@
     if decoded["environment"] != environment:
         message = f"{key}: the value is of environment {decoded['environment']!r}"
         return Failure(ValueFormatError(message))
-    if decoded["digest"] != digest_of(decoded["text"]):
-        return Failure(ValueFormatError(f"{key}: the digest is not that of the text"))
     return Success(decoded)
 
 
