--- a/filbertreach_standins/_server.py
+++ b/filbertreach_standins/_server.py
@@ -312,14 +312,14 @@
     return dict(urllib.parse.parse_qsl(text, keep_blank_values=True)) if text else {}
 
 
-async def read_body(receive: Receive) -> bytes:
-    """Reads the whole request body; returns what arrived if the caller disconnects."""
+async def read_body(receive: Receive) -> bytes | None:
+    """Reads the whole request body; returns None if the caller disconnects before its end."""
     message = await receive()
     body: bytes = message.get("body", b"")
     while message.get("more_body"):
         message = await receive()
         body += message.get("body", b"")
-    return body
+    return body if message["type"] == "http.request" else None
 
 
 async def send_bytes(send: Send, status: int, body: bytes, headers: Sequence[Header] = ()) -> None:
--- a/filbertreach_standins/key_value/_service.py
+++ b/filbertreach_standins/key_value/_service.py
@@ -170,6 +170,8 @@
     ) -> None:
         """Answers one call."""
         body = await read_body(receive)
+        if body is None:
+            return
         request = _recognise(scope["method"], scope["path"], query_parameters(scope), body)
         if request is None:
             message = f"{scope['method']} {scope['path']} does not exist"
