Document the platform contract and check the fault tables

Cause: both sides of the platform protocols need one reference. Change: docs/platform-contract.md; a test compares its fault tables with the stand-ins. Figures: none. Conclusion: none.

--- a/filbertreach_standins/tests/test_contract.py
+++ b/filbertreach_standins/tests/test_contract.py
@@ -5,6 +5,7 @@
 
 import http.client
 import json
+import pathlib
 from typing import Any, NamedTuple
 
 import pytest
@@ -409,3 +410,10 @@
     with pytest.raises(ControlError):
         control.set_faults(slow_factor=3, **changes)
     assert control.set_faults() == {}
+
+
+@pytest.mark.parametrize("module", ["leaf", "key_value", "host_list"])
+def test_every_fault_is_documented(controls, module):
+    text = (pathlib.Path(__file__).parents[2] / "docs/platform-contract.md").read_text()
+    for name, fault in controls[module].request("GET", "/admin/faults").items():
+        assert f"| `{name}` | {json.dumps(fault['default'])} | {fault['meaning']} |" in text
