Let a waiting watch look only at new changes in the key-value stand-in

Cause: each write made every waiting watch scan all keys. Change: changes are kept in order of revision, and a watch looks at each only once.

--- a/filbertreach_standins/key_value/_service.py
+++ b/filbertreach_standins/key_value/_service.py
@@ -279,7 +279,11 @@
         self._waiting_peak = max(self._waiting_peak, self._waiting)
         try:
             with anyio.move_on_after(wait) as wait_scope:
-                while not (changes := self._visible_changes(request.subject, after)):
+                seen = after
+                while not (changes := self._visible_changes(request.subject, seen)):
+                    if not self.faults.value("stalled_watches"):
+                        # Changes of other keys are not looked at again.
+                        seen = max(seen, self._store.revision)
                     await self._changed.wait()
                     await self._interrupt_watch(connection, wait_scope)
                 events = [change._asdict() for change in changes]
--- a/filbertreach_standins/key_value/_store.py
+++ b/filbertreach_standins/key_value/_store.py
@@ -1,5 +1,6 @@
 """Keys, values, revisions and leases in memory."""
 
+import itertools
 from typing import Any, Literal, NamedTuple
 
 MAX_VALUE_BYTES = 1_000_000
@@ -101,7 +102,7 @@
             self._lease_by_id[lease].keys.add(key)
         self.revision += 1
         self.items[key] = Item(key, value, self.revision, lease)
-        self._change_by_key[key] = Change("put", key, value, self.revision)
+        self._record(Change("put", key, value, self.revision))
         return self.revision
 
     def delete(self, *, key: str, expected_revision: int | None) -> int:
@@ -135,7 +136,7 @@
         self._detach(key)
         del self.items[key]
         self.revision += 1
-        self._change_by_key[key] = Change("delete", key, None, self.revision)
+        self._record(Change("delete", key, None, self.revision))
 
     def items_with_prefix(self, prefix: str) -> list[Item]:
         """Returns the items whose keys start with a prefix, in order of their keys."""
@@ -146,12 +147,15 @@
 
         Earlier changes of the same key are left out, so that no history has to be kept.
         """
-        found = [
-            change
-            for change in self._change_by_key.values()
-            if change.revision > after and change.key.startswith(prefix)
-        ]
-        return sorted(found, key=lambda change: change.revision)
+        newer = itertools.takewhile(
+            lambda change: change.revision > after, reversed(self._change_by_key.values())
+        )
+        return [change for change in newer if change.key.startswith(prefix)][::-1]
+
+    def _record(self, change: Change) -> None:
+        # Removed first, so that the values stay in order of revision.
+        self._change_by_key.pop(change.key, None)
+        self._change_by_key[change.key] = change
 
     def grant(self, *, ttl_seconds: float, now: float) -> str:
         """Grants a lease and returns its id."""
