--- a/filbertreach_standins/_server.py
+++ b/filbertreach_standins/_server.py
@@ -8,8 +8,7 @@
 import random
 import socket
 import struct
-import urllib.parse
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any, cast
 
 import anyio
@@ -19,10 +18,14 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from filbertreach_standins._faults import Fault, FaultError, FaultSet, Trigger, one_of
-
-Receive = Callable[[], Awaitable[Any]]
-Send = Callable[[Any], Awaitable[None]]
-Header = tuple[bytes, bytes]
+from filbertreach_standins._http import (
+    Receive,
+    Send,
+    parse_address,
+    query_parameters,
+    read_body,
+    send_json,
+)
 
 _CLASSIFY_SECONDS = 0.05
 """A connection without a request after this time counts as an ordinary one."""
@@ -306,62 +309,6 @@
         await stand_in.handle(connection, scope, receive, send)
 
 
-def query_parameters(scope: dict[str, Any]) -> dict[str, str]:
-    """Returns the query parameters of a request, the last of each name."""
-    text = scope["query_string"].decode()
-    return dict(urllib.parse.parse_qsl(text, keep_blank_values=True)) if text else {}
-
-
-async def read_body(receive: Receive) -> bytes | None:
-    """Reads the whole request body; returns None if the caller disconnects before its end."""
-    message = await receive()
-    body: bytes = message.get("body", b"")
-    while message.get("more_body"):
-        message = await receive()
-        body += message.get("body", b"")
-    return body if message["type"] == "http.request" else None
-
-
-async def send_bytes(send: Send, status: int, body: bytes, headers: Sequence[Header] = ()) -> None:
-    """Sends a whole response with a JSON content type.
-
-    Args:
-        send: ASGI send callable.
-        status: HTTP status.
-        body: JSON text.
-        headers: Further headers.
-    """
-    await send(
-        {
-            "type": "http.response.start",
-            "status": status,
-            "headers": [
-                (b"content-type", b"application/json"),
-                (b"content-length", b"%d" % len(body)),
-                *headers,
-            ],
-        }
-    )
-    await send({"type": "http.response.body", "body": body})
-
-
-async def send_json(send: Send, status: int, value: Any, headers: Sequence[Header] = ()) -> None:
-    """Sends a whole response, encoding a JSON value."""
-    await send_bytes(send, status, msgspec.json.encode(value), headers)
-
-
-def parse_address(text: str) -> tuple[str, int]:
-    """Parses ip:port.
-
-    Raises:
-        ValueError: The text has another form.
-    """
-    host, separator, port = text.rpartition(":")
-    if not separator or not host or not port.isdigit() or int(port) > 65535:
-        raise ValueError(f"expected ip:port, not {text!r}")
-    return host, int(port)
-
-
 async def serve(stand_in_by_listen: Sequence[tuple[str, str, StandIn]]) -> None:
     """Serves stand-ins until SIGTERM or SIGINT.
 
--- a/filbertreach_standins/host_list/__main__.py
+++ b/filbertreach_standins/host_list/__main__.py
@@ -6,6 +6,7 @@
 import anyio
 import msgspec
 
+from filbertreach_standins._http import listen_address
 from filbertreach_standins._server import serve
 from filbertreach_standins.host_list._service import HostBody, HostListService
 
@@ -16,7 +17,7 @@
         prog="python -m filbertreach_standins.host_list",
         description="Simulates the platform's host list. PUT /admin/hosts sets the true list.",
     )
-    parser.add_argument("--listen", default="127.0.0.1:0", metavar="IP:PORT")
+    parser.add_argument("--listen", default="127.0.0.1:0", type=listen_address, metavar="IP:PORT")
     parser.add_argument("--hosts", type=pathlib.Path, metavar="FILE", help="JSON list of hosts")
     parser.add_argument("--seed", type=int, default=0)
     arguments = parser.parse_args()
--- a/filbertreach_standins/host_list/_service.py
+++ b/filbertreach_standins/host_list/_service.py
@@ -11,7 +11,8 @@
 
 from filbertreach.timing import SystemClock
 from filbertreach_standins._faults import Fault, at_least_zero, one_of
-from filbertreach_standins._server import Connection, Receive, Send, StandIn, send_json
+from filbertreach_standins._http import Receive, Send, send_json
+from filbertreach_standins._server import Connection, StandIn
 
 _HISTORY_SECONDS = 3600.0
 """Versions of the list that are older than this are dropped."""
--- a/filbertreach_standins/key_value/_service.py
+++ b/filbertreach_standins/key_value/_service.py
@@ -9,15 +9,8 @@
 
 from filbertreach.timing import SystemClock
 from filbertreach_standins._faults import Fault, Trigger, at_least_zero, one_of
-from filbertreach_standins._server import (
-    Connection,
-    Receive,
-    Send,
-    StandIn,
-    query_parameters,
-    read_body,
-    send_json,
-)
+from filbertreach_standins._http import Receive, Send, query_parameters, read_body, send_json
+from filbertreach_standins._server import Connection, StandIn
 from filbertreach_standins.key_value._calls import READ_KINDS, CallCounter, CallKind, RateLimit
 from filbertreach_standins.key_value._store import Change, Item, Store, StoreError
 
--- a/filbertreach_standins/leaf/__main__.py
+++ b/filbertreach_standins/leaf/__main__.py
@@ -33,6 +33,14 @@
     return parser
 
 
+def _leaf_entry(text: str) -> dict[str, str]:
+    pairs = [pair.partition("=") for pair in text.split()]
+    for name, separator, _value in pairs:
+        if not separator:
+            raise ValueError(f"--leaf {text!r}: expected NAME=VALUE, not {name!r}")
+    return {name: value for name, _separator, value in pairs}
+
+
 def _definitions(arguments: argparse.Namespace) -> list[LeafDefinition]:
     given = {
         name: value
@@ -40,7 +48,7 @@
         if (value := getattr(arguments, name)) is not None
     }
     defaults = definition_from_values(given)
-    entries = [dict(pair.split("=", 1) for pair in text.split()) for text in arguments.leaf]
+    entries = [_leaf_entry(text) for text in arguments.leaf]
     if arguments.config:
         entries += json.loads(pathlib.Path(arguments.config).read_text(encoding="utf-8"))
     if not entries:
--- a/filbertreach_standins/leaf/_definition.py
+++ b/filbertreach_standins/leaf/_definition.py
@@ -2,6 +2,8 @@
 
 from typing import Any, NamedTuple
 
+from filbertreach_standins._http import parse_address
+
 
 class LeafDefinition(NamedTuple):
     """One simulated backend server; also the form of an entry in a configuration file."""
@@ -64,4 +66,6 @@
             converted[name] = tuple(item_type(item) for item in items if item != "")
         else:
             converted[name] = type(default)(value)
-    return defaults._replace(**converted)
+    definition = defaults._replace(**converted)
+    parse_address(definition.listen)
+    return definition
--- a/filbertreach_standins/leaf/_leaf.py
+++ b/filbertreach_standins/leaf/_leaf.py
@@ -1,95 +1,33 @@
 """A simulated backend server."""
 
 import random
-from typing import Any, NamedTuple
+from typing import Any
 
 import anyio
 import msgspec
 
 from filbertreach.timing import SystemClock
-from filbertreach_standins._server import (
-    Connection,
-    Header,
-    Receive,
-    Send,
-    StandIn,
-    read_body,
-    send_bytes,
-    send_json,
-)
+from filbertreach_standins._http import Header, Receive, Send, read_body, send_bytes, send_json
+from filbertreach_standins._server import Connection, StandIn
 from filbertreach_standins.leaf._answers import (
     CORRUPTION_FAULTS,
     AnswerParts,
     AnswerWriter,
     corrupted,
 )
+from filbertreach_standins.leaf._call import NOT_STARTED, Call, Refusal
 from filbertreach_standins.leaf._definition import LeafDefinition
 from filbertreach_standins.leaf._faults import LEAF_FAULTS
-from filbertreach_standins.leaf._record import Execution, ExecutionRecord, Tally
+from filbertreach_standins.leaf._record import Execution, ExecutionRecord
 from filbertreach_standins.leaf._reports import Report, ReportHistory
 from filbertreach_standins.leaf._slots import Slots
 
-_NOT_STARTED: Header = (b"x-not-started", b"true")
 _CANCELLED = 499
 _SAMPLE_SECONDS = 0.05
 """How often the state is recorded while reports lag."""
 _CALLS_PATH = "/v1/calls/"
 
 
-class _Call:
-    """A call in progress."""
-
-    __slots__ = (
-        "call_id",
-        "cancelled",
-        "execution",
-        "query",
-        "rank",
-        "remaining_seconds",
-        "scope",
-        "shard",
-        "tallies",
-        "version",
-    )
-
-    def __init__(self, headers: dict[bytes, bytes], body: bytes) -> None:
-        """Reads the headers and the body of a call.
-
-        Raises:
-            ValueError: A header or the body has a wrong form.
-        """
-        self.call_id = headers[b"x-call-id"].decode()
-        self.shard = headers[b"x-shard"].decode()
-        self.version = int(headers[b"x-index-version"])
-        self.rank = headers.get(b"x-rank", b"").decode()
-        deadline = headers.get(b"x-deadline-ms")
-        self.remaining_seconds = None if deadline is None else float(deadline) / 1000
-        self.query: dict[str, Any] = msgspec.json.decode(body) if len(body) > 2 else {}
-        if not isinstance(self.query, dict):
-            raise ValueError("the query is not a JSON object")
-        self.execution: Execution | None = None
-        self.tallies: list[Tally] = []
-        self.scope: anyio.CancelScope | None = None
-        self.cancelled = False
-
-    def cancel(self) -> None:
-        """Stops the call, because its caller asked for it or disconnected."""
-        self.cancelled = True
-        if self.scope is not None:
-            self.scope.cancel()
-
-
-class _Refusal(NamedTuple):
-    """An answer without an execution."""
-
-    status: int
-    """HTTP status."""
-    reason: str
-    """Shown in the body."""
-    headers: tuple[Header, ...] = (_NOT_STARTED,)
-    """Further headers; by default the proof that the call did not start."""
-
-
 class Leaf(StandIn):
     """Serves one simulated backend server."""
 
@@ -110,7 +48,7 @@
         self._history = ReportHistory()
         self._lag_began = anyio.Event()
         self._slots = Slots(slots=definition.slots, queue=definition.queue)
-        self._calls_by_id: dict[str, _Call] = {}
+        self._calls_by_id: dict[str, Call] = {}
         self._in_flight = 0
         self._versions: tuple[int, ...] = ()
         self._shards: frozenset[str] = frozenset()
@@ -289,21 +227,21 @@
         self._received += 1
         self._last_received_at = self._clock.now()
         try:
-            call = _Call(dict(scope["headers"]), body)
+            call = Call(dict(scope["headers"]), body)
         except (KeyError, ValueError, msgspec.DecodeError) as error:
-            await self._refuse(send, _Refusal(400, f"the call can't be read: {error!r}"))
+            await self._refuse(send, Refusal(400, f"the call can't be read: {error!r}"))
             return
-        outcome: AnswerParts | _Refusal | None
+        outcome: AnswerParts | Refusal | None
         if self.faults or (first and self.definition.connect_cost_ms):
             outcome = await self._run_call(connection, call, first)
         else:
             outcome = self._run_at_once(call) or await self._run_call(connection, call, False)
-        if isinstance(outcome, _Refusal):
+        if isinstance(outcome, Refusal):
             await self._refuse(send, outcome)
         else:
             await self._answer(connection, outcome, send)
 
-    def _run_at_once(self, call: _Call) -> AnswerParts | _Refusal | None:
+    def _run_at_once(self, call: Call) -> AnswerParts | Refusal | None:
         """Returns the outcome of a call that need not wait, None for any other.
 
         A cancel scope costs about as much as all the rest of a call.
@@ -318,8 +256,8 @@
         return self._parts(call)
 
     async def _run_call(
-        self, connection: Connection, call: _Call, first: bool
-    ) -> AnswerParts | _Refusal:
+        self, connection: Connection, call: Call, first: bool
+    ) -> AnswerParts | Refusal:
         remaining = call.remaining_seconds
         deadline = float("inf") if remaining is None else anyio.current_time() + remaining
         connection.on_lost = call.cancel
@@ -339,32 +277,32 @@
             connection.on_lost = None
             if self._calls_by_id.get(call.call_id) is call:
                 del self._calls_by_id[call.call_id]
-        headers = () if call.execution is not None else (_NOT_STARTED,)
+        headers = () if call.execution is not None else (NOT_STARTED,)
         if call.cancelled:
-            return _Refusal(_CANCELLED, "cancelled", headers)
-        return _Refusal(504, "deadline passed", headers)
+            return Refusal(_CANCELLED, "cancelled", headers)
+        return Refusal(504, "deadline passed", headers)
 
-    def _refusal(self, call: _Call) -> _Refusal | None:
+    def _refusal(self, call: Call) -> Refusal | None:
         fires = self.faults.fires
         if self.faults:
             if fires("fails_fast"):
-                return _Refusal(500, "internal error", ())
+                return Refusal(500, "internal error", ())
             if fires("sheds_unmarked"):
-                return _Refusal(503, "shedding", ())
+                return Refusal(503, "shedding", ())
             if fires("sheds"):
-                return _Refusal(503, "shedding")
+                return Refusal(503, "shedding")
         state = self._state()
         if state != "ready" and self.faults.value("draining") != "announce":
-            return _Refusal(503, state)
+            return Refusal(503, state)
         if self._slots.full:
-            return _Refusal(503, "shedding")
+            return Refusal(503, "shedding")
         if call.version not in self._versions:
-            return _Refusal(409, f"version {call.version} is not served")
+            return Refusal(409, f"version {call.version} is not served")
         if call.shard not in self._shards:
-            return _Refusal(409, f"shard {call.shard!r} is not served")
+            return Refusal(409, f"shard {call.shard!r} is not served")
         if call.remaining_seconds is not None and call.remaining_seconds <= 0:
             # A cancel scope stops a call only at its first wait, after the execution is counted.
-            return _Refusal(504, "deadline passed")
+            return Refusal(504, "deadline passed")
         return None
 
     async def _hang(self, scope: anyio.CancelScope) -> None:
@@ -380,7 +318,7 @@
         if self._in_flight > self._in_flight_peak:
             self._in_flight_peak = self._in_flight
 
-    async def _execute(self, call: _Call) -> None:
+    async def _execute(self, call: Call) -> None:
         if not self._slots.try_acquire():
             await self._slots.acquire()
         self._begin(call)
@@ -393,7 +331,7 @@
         finally:
             self._end(call, finished=finished)
 
-    def _begin(self, call: _Call) -> None:
+    def _begin(self, call: Call) -> None:
         self._change_in_flight(1)
         write, tag = call.query.get("write"), call.query.get("tag")
         call.execution = Execution(
@@ -401,7 +339,7 @@
         )
         call.tallies = self._record.start(call.execution)
 
-    def _end(self, call: _Call, *, finished: bool) -> None:
+    def _end(self, call: Call, *, finished: bool) -> None:
         self._change_in_flight(-1)
         self._slots.release()
         for tally in call.tallies:
@@ -410,7 +348,7 @@
             else:
                 tally.cancelled += 1
 
-    def _parts(self, call: _Call) -> AnswerParts:
+    def _parts(self, call: Call) -> AnswerParts:
         rows = call.query.get("rows", self.definition.rows)
         return AnswerParts(call.call_id, call.shard, call.version, rows)
 
@@ -432,7 +370,7 @@
             seconds *= value("straggler_factor")
         return seconds
 
-    async def _refuse(self, send: Send, refusal: _Refusal) -> None:
+    async def _refuse(self, send: Send, refusal: Refusal) -> None:
         self._count_status(refusal.status)
         headers = [*self._report_headers(), *refusal.headers]
         await send_json(send, refusal.status, {"error": refusal.reason}, headers)
