--- a/filbertreach/platform/_put_checked.py
+++ b/filbertreach/platform/_put_checked.py
@@ -41,8 +41,9 @@
         that the write did not take effect, and won't.
     """
     outcome_unknown = False
-    pause = _FIRST_PAUSE_SECONDS
-    for _attempt in range(attempts):
+    for attempt in range(attempts):
+        if attempt > 0:
+            await anyio.sleep(_FIRST_PAUSE_SECONDS * 2 ** (attempt - 1))
         result = await client.put(key, value, expected_revision, lease)
         if isinstance(result, Success):
             return result
@@ -55,8 +56,6 @@
         settled = await _read_back(client, key, took_effect, conflict)
         if settled is not None:
             return settled
-        await anyio.sleep(pause)
-        pause *= 2
     message = f"put {key!r}: the answer was lost, and reading back did not show the outcome"
     return Failure(OutcomeUnknownError(message))
 
