--- a/filbertreach_standins/key_value/_service.py
+++ b/filbertreach_standins/key_value/_service.py
@@ -9,15 +9,8 @@
 
 from filbertreach.timing import SystemClock
 from filbertreach_standins._faults import Fault, Trigger, at_least_zero, one_of
-from filbertreach_standins._server import (
-    Connection,
-    Receive,
-    Send,
-    StandIn,
-    query_parameters,
-    read_body,
-    send_json,
-)
+from filbertreach_standins._http import Receive, Send, query_parameters, read_body, send_json
+from filbertreach_standins._server import Connection, StandIn
 from filbertreach_standins.key_value._calls import READ_KINDS, CallCounter, CallKind, RateLimit
 from filbertreach_standins.key_value._store import Change, Item, Store, StoreError
 
@@ -170,6 +163,8 @@
     ) -> None:
         """Answers one call."""
         body = await read_body(receive)
+        if body is None:
+            return
         request = _recognise(scope["method"], scope["path"], query_parameters(scope), body)
         if request is None:
             message = f"{scope['method']} {scope['path']} does not exist"
@@ -277,7 +272,11 @@
         self._waiting_peak = max(self._waiting_peak, self._waiting)
         try:
             with anyio.move_on_after(wait) as wait_scope:
-                while not (changes := self._visible_changes(request.subject, after)):
+                seen = after
+                while not (changes := self._visible_changes(request.subject, seen)):
+                    if not self.faults.value("stalled_watches"):
+                        # Changes of other keys are not looked at again.
+                        seen = max(seen, self._store.revision)
                     await self._changed.wait()
                     await self._interrupt_watch(connection, wait_scope)
                 events = [change._asdict() for change in changes]
