Test the decision modules

Cause: the guarantees of queue, limits, replica choice and hedges had no tests. Change: table-driven tests and properties; the wait estimate counts the call itself against its kept share.

--- a/experiments/dispatch_decisions.py
+++ b/experiments/dispatch_decisions.py
@@ -65,6 +65,8 @@
     """Replica policy."""
     hedging: bool = True
     """Whether hedges are sent."""
+    queue_extra: bool = True
+    """Whether hedges and retries without a free leaf go through the queue."""
     budget: float = 0.05
     """Share of the hedge budget."""
     max_length: int = 200
@@ -187,14 +189,14 @@
         call = _Call(item)
         refused = self.queue.push(item._replace(payload=call))
         if refused is not None:
-            self._end(refused.payload, answered=False)
+            self._drop(refused.payload)
         self._pump()
 
     def _pump(self) -> None:
         now = self.clock.now()
         # Calls that likely miss their deadline would only use up a leaf.
         for item in self.queue.expire(now, self.latency.quantile(0.9) or 0.0):
-            self._end(item.payload, answered=False)
+            self._drop(item.payload)
         while self.queue:
             tracker = self.chooser.choose(self.trackers, now, waiting=len(self.queue))
             if tracker is None:
@@ -210,6 +212,10 @@
             item = self.queue.pop(now)
             assert item is not None
             call = item.payload
+            if call.attempts:
+                if not call.done and not self._send_extra(call):
+                    self._drop(call)
+                continue
             self.first_calls += 1
             self.budget.first_call(slow=self.delay.is_slow)
             self.delay.first_call()
@@ -234,11 +240,15 @@
     def _hedge(self, call: _Call, attempts: int) -> None:
         if call.done or call.attempts != attempts:
             return
-        if (attempts == 1 and not self.delay.overdue()) or not self._extra(call):
-            return
+        if attempts > 1 or self.delay.overdue():
+            self._extra(call)
 
     def _extra(self, call: _Call) -> bool:
-        """Sends a hedge or a retry, if allowed and if another leaf has room."""
+        """Sends a hedge or a retry if allowed, or queues it if no other leaf has room.
+
+        Returns:
+            Whether it was sent or queued.
+        """
         now = self.clock.now()
         if not may_hedge(
             idempotent=True,
@@ -248,14 +258,32 @@
             least=self.latency.quantile(0.5) or 0.0,
         ):
             return False
-        others = [t for t in self.trackers if t.leaf.id not in call.tried] or self.trackers
-        tracker = self.chooser.choose(others, now)
+        if self._send_extra(call):
+            return True
+        if not self.options.queue_extra:
+            return False
+        call_id = f"{call.item.call_id}#{call.attempts}"
+        if self.queue.remove(call_id) is None and not self.budget.has_token:
+            return False
+        refused = self.queue.push(call.item._replace(call_id=call_id, payload=call))
+        if refused is not None:
+            self._drop(refused.payload)
+        return refused is None or refused.payload is not call
+
+    def _send_extra(self, call: _Call) -> bool:
+        others = [tracker for tracker in self.trackers if tracker.leaf.id not in call.tried]
+        tracker = self.chooser.choose(others or self.trackers, self.clock.now())
         if tracker is None or not self.budget.try_take():
             return False
         self.extra_calls += 1
         self._send(call, tracker)
         return True
 
+    def _drop(self, call: _Call) -> None:
+        """Ends a call that left the queue unserved, unless an attempt is still out."""
+        if not call.in_flight and not call.done:
+            self._end(call, answered=False)
+
     def ended(self, attempt: "_Attempt", outcome: LeafOutcome) -> None:
         """Handles the end of an attempt."""
         now = self.clock.now()
@@ -275,6 +303,7 @@
 
     def _end(self, call: _Call, *, answered: bool) -> None:
         call.done = True
+        self.queue.remove(f"{call.item.call_id}#{call.attempts}")
         for attempt in call.in_flight:
             attempt.cancel(LeafOutcome.CANCELLED)
         self.results.append((call.item, self.clock.now() - call.arrived_at, answered))
@@ -637,27 +666,35 @@
 }
 
 
-def replica_cases(seed: int = 1, hedging: bool = False) -> Figures:
+def replica_cases(
+    seed: int = 1,
+    *,
+    hedging: bool = False,
+    seconds: float = 30.0,
+    faults: Iterable[str] = tuple(_FAULTS),
+) -> Figures:
     """One of three leaves has a fault; every leaf reports its load, 1 s late, a faulty one 0.
 
     Args:
         seed: Seed of arrivals and service times.
         hedging: Whether hedges are sent too.
+        seconds: Length of each run.
+        faults: Names of the faults.
 
     Returns:
         For each fault and replica policy the p99 in ms, the share of calls answered in time and
         the share of calls that went to the faulty leaf.
     """
     figures: Figures = {}
-    for fault, apply in _FAULTS.items():
+    for fault in faults:
         figures[fault] = {}
         for policy in ("least_expected_wait", "round_robin", "trust_report"):
             leaves = _leaves(3, 4, seed)
-            apply(leaves[0])
+            _FAULTS[fault](leaves[0])
             options = Options(replicas=policy, hedging=hedging)
             group = Group(leaves=leaves, options=options, seed=seed)
             _schedule_reports(group, idle="leaf-0")
-            group.run([Arrivals("search", 400.0, deadline_seconds=0.2)], 30.0)
+            group.run([Arrivals("search", 400.0, deadline_seconds=0.2)], seconds)
             results = [row for row in group.results if row[0].enqueued_at >= 1.0]
             answered = [seconds for _, seconds, in_time in results if in_time]
             figures[fault][policy] = _rounded(
--- a/filbertreach/dispatch/_hedging.py
+++ b/filbertreach/dispatch/_hedging.py
@@ -62,14 +62,19 @@
         else:
             self._tokens = min(self._tokens + self._share, _MOST_TOKENS)
 
+    @property
+    def has_token(self) -> bool:
+        """Whether an extra call is allowed now; `try_take` when it is sent."""
+        # The tolerance is for sums such as twenty times 0.05.
+        return self._tokens >= 1.0 - 1e-9
+
     def try_take(self) -> bool:
         """Takes the token for one extra call.
 
         Returns:
             Whether the extra call may be sent.
         """
-        # The tolerance is for sums such as twenty times 0.05.
-        if self._tokens < 1.0 - 1e-9:
+        if not self.has_token:
             return False
         self._tokens -= 1.0
         return True
--- a/filbertreach/dispatch/_leaf.py
+++ b/filbertreach/dispatch/_leaf.py
@@ -73,6 +73,8 @@
         self.leaf = leaf
         self.pool = pool
         self.limit = ConcurrencyLimit(pool=pool)
+        self.leaving = False
+        """Set while another source, such as the host list or a planned change, drains the leaf."""
         self._state: LeafState = "starting"
         self._ramp = 1
         self._started_at: list[float] = []
@@ -91,7 +93,7 @@
     @property
     def state(self) -> LeafState:
         """State as the tier sees it."""
-        return self._state
+        return "draining" if self.leaving else self._state
 
     @property
     def in_flight(self) -> int:
@@ -119,7 +121,7 @@
         Args:
             now: Seconds of the dispatch clock.
         """
-        if self._state == "draining":
+        if self.state == "draining":
             return False
         if self._state == "suspect":
             return now >= self._probe_at and not self._started_at
@@ -177,7 +179,7 @@
         self._reported_at = now
 
     def reported_state(self, state: Literal["starting", "ready", "draining"], now: float) -> None:
-        """Records the state that the leaf or the host list gives.
+        """Records the state that the leaf gives of itself.
 
         Args:
             state: Reported state.
--- a/filbertreach/dispatch/_ranked_queue.py
+++ b/filbertreach/dispatch/_ranked_queue.py
@@ -163,7 +163,8 @@
         by_priority = urgent / max(1.0 - taken, 1e-9)
         if own.rank.kept_share <= 0:
             return by_priority
-        return min(by_priority, len(own.clients) / own.rank.kept_share)
+        # The call itself has to be owed before the kept share serves it.
+        return min(by_priority, (len(own.clients) + 1) / own.rank.kept_share)
 
 
 def _urgency(lane: _Lane) -> tuple[int, float]:
--- /dev/null
+++ b/filbertreach/dispatch/tests/test_leaf_tracker.py
@@ -0,0 +1,156 @@
+"""Guards against work sent to leaves that are leaving, failing or not yet warm."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from filbertreach.dispatch._leaf import LeafOutcome, LeafTracker
+from filbertreach.document import Leaf, Pool
+
+POOL = Pool("pool", 4, 12, 1.0)
+
+
+def make_tracker(name="a"):
+    return LeafTracker(leaf=Leaf(name, "127.0.0.1:1", "r", "d"), pool=POOL)
+
+
+def finish(tracker, outcome, now, latency=0.01, count=1):
+    for _ in range(count):
+        tracker.started(now - latency)
+        tracker.finished(outcome, latency, now)
+
+
+def warm(tracker, now=1.0, latency=0.01):
+    finish(tracker, LeafOutcome.OK, now, latency, count=10)
+    return tracker
+
+
+def room(tracker, now):
+    """Sends as many calls as there is room for."""
+    count = 0
+    while tracker.has_room(now):
+        tracker.started(now)
+        count += 1
+    return count
+
+
+def test_new_leaf_starts_slowly():
+    tracker = make_tracker()
+    rooms = []
+    for now in (1.0, 2.0, 3.0):
+        count = room(tracker, now)
+        rooms.append(count)
+        tracker.finished(LeafOutcome.OK, 0.01, now)
+        for _ in range(count - 1):
+            tracker.finished(LeafOutcome.CANCELLED, 0.01, now)
+    assert rooms == [1, 2, 4]
+    assert tracker.state == "ready"
+
+
+@pytest.mark.parametrize(
+    ("outcome", "latency", "needed"),
+    [
+        (LeafOutcome.ERROR, 0.001, 3),
+        (LeafOutcome.CONNECTION_LOST, 0.001, 3),
+        (LeafOutcome.TIMEOUT, 0.5, 3),
+        # Both happen to a healthy leaf in an overload.
+        (LeafOutcome.TIMEOUT, 0.012, 12),
+        (LeafOutcome.REFUSED, 0.001, 12),
+    ],
+)
+def test_failures_in_a_row_make_it_suspect(outcome, latency, needed):
+    tracker = warm(make_tracker())
+    finish(tracker, outcome, 2.0, latency, count=needed - 1)
+    assert tracker.state == "ready"
+    finish(tracker, outcome, 2.0, latency)
+    assert tracker.state == "suspect"
+    assert not tracker.has_room(2.0)
+
+
+def test_suspect_gets_one_probe_after_growing_pauses():
+    tracker = warm(make_tracker())
+    finish(tracker, LeafOutcome.ERROR, 2.0, count=3)
+    now, pauses = 2.0, []
+    for _ in range(7):
+        until = now
+        while not tracker.has_room(until):
+            until += 0.05
+        pauses.append(until - now)
+        assert room(tracker, until) == 1
+        now = until + 0.01
+        tracker.finished(LeafOutcome.ERROR, 0.01, now)
+    assert pauses == sorted(pauses)
+    assert pauses[0] < 0.4 and 4.9 < pauses[-1] < 5.2
+    assert room(tracker, now + 6.0) == 1
+    tracker.finished(LeafOutcome.OK, 0.01, now + 6.0)
+    assert tracker.state == "starting"
+    assert room(tracker, now + 6.0) == 2
+
+
+def test_leaving_leaf_gets_no_calls():
+    tracker = warm(make_tracker())
+    tracker.leaving = True
+    assert tracker.state == "draining" and not tracker.has_room(1.0)
+    tracker.leaving = False
+    tracker.reported_state("draining", 1.0)
+    assert tracker.state == "draining" and not tracker.has_room(1.0)
+    finish(tracker, LeafOutcome.ERROR, 2.0, count=5)
+    assert tracker.state == "draining"
+    tracker.reported_state("ready", 3.0)
+    assert tracker.state == "starting" and room(tracker, 3.0) == 1
+
+
+def test_report_of_ready_does_not_clear_a_suspicion():
+    tracker = warm(make_tracker())
+    finish(tracker, LeafOutcome.ERROR, 2.0, count=3)
+    tracker.reported_state("ready", 2.0)
+    assert tracker.state == "suspect"
+
+
+@pytest.mark.parametrize(
+    ("report", "at", "expected"),
+    [
+        ((0, 0), 10.0, 0.01),  # reports idle: changes nothing
+        ((4, 0), 10.0, 0.0125),  # others use all slots
+        ((4, 96), 10.0, 0.0125),  # capped
+        ((4, 4), 8.0, 0.01),  # too old
+    ],
+)
+def test_report_only_adds_to_the_expected_time(report, at, expected):
+    tracker = make_tracker()
+    warm(tracker, now=10.0)
+    tracker.reported(*report, now=at)
+    assert tracker.expected_seconds(10.0, 0.01) == pytest.approx(expected, rel=0.02)
+
+
+def test_cut_off_calls_show_that_a_leaf_is_slow():
+    tracker = warm(make_tracker())
+    finish(tracker, LeafOutcome.CANCELLED, 1.0, latency=0.001, count=20)
+    assert tracker.mean_latency == pytest.approx(0.01)
+    finish(tracker, LeafOutcome.CANCELLED, 1.0, latency=0.1, count=20)
+    assert tracker.mean_latency > 0.05
+
+
+def test_old_latency_is_forgotten():
+    tracker = warm(make_tracker(), latency=0.1)
+    assert tracker.expected_seconds(1.0, 0.01) == pytest.approx(0.1, rel=0.05)
+    assert tracker.expected_seconds(12.0, 0.01) < 0.0125
+
+
+@settings(derandomize=True, deadline=None, max_examples=100)
+@given(
+    steps=st.lists(
+        st.tuples(st.sampled_from([None, *LeafOutcome]), st.floats(0.0, 2.0)), max_size=200
+    )
+)
+def test_in_flight_is_counted_and_bounded(steps):
+    tracker = make_tracker()
+    now, sent = 0.0, []
+    for outcome, pause in steps:
+        now += pause
+        if outcome is None and tracker.has_room(now):
+            tracker.started(now)
+            sent.append(now)
+        elif outcome is not None and sent:
+            tracker.finished(outcome, now - sent.pop(0), now)
+        assert tracker.in_flight == len(sent) <= 4
