Let ranks of equal priority take turns and cache quantiles

Cause: of two ranks of equal priority without a kept share the first starved the second; six quantiles for each call cost about 50 us. Change: turns by the number of the last taken call; quantiles are computed again after 1/32 new samples; the experiment costs.

--- a/experiments/dispatch_decisions.py
+++ b/experiments/dispatch_decisions.py
@@ -7,20 +7,22 @@
 """
 
 import argparse
+import functools
 import heapq
 import itertools
 import json
 import math
 import random
 import sys
+import time
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple
 
 from filbertreach.dispatch._hedging import HedgeBudget, HedgeDelay, may_hedge
 from filbertreach.dispatch._latency import LatencyTracker
 from filbertreach.dispatch._leaf import LeafOutcome, LeafTracker
-from filbertreach.dispatch._queue import QueuedCall, make_queue
+from filbertreach.dispatch._queue import CallQueue, QueuedCall, make_queue
 from filbertreach.dispatch._replicas import make_replica_policy
 from filbertreach.document import Leaf, Pool, Rank
 from filbertreach.timing import FakeClock
@@ -209,9 +211,9 @@
                     self._wake_at = now + hold
                     self.at(self._wake_at, self._pump)
                 return
-            item = self.queue.pop(now)
-            assert item is not None
-            call = item.payload
+            popped = self.queue.pop(now)
+            assert popped is not None
+            call = popped.payload
             if call.attempts:
                 if not call.done and not self._send_extra(call):
                     self._drop(call)
@@ -461,6 +463,10 @@
     )
 
 
+def _slow_after(draw: Callable[[float], float], at: float) -> Callable[[float], float]:
+    return lambda now: draw(now) * (10.0 if now >= at else 1.0)
+
+
 def whole_fleet_slow(seed: int = 1, sigma: float = 0.15) -> Figures:
     """After 20 s every leaf takes 10 times as long, for 120 s.
 
@@ -473,8 +479,7 @@
     """
     leaves = _leaves(3, 4, seed, sigma)
     for leaf in leaves:
-        draw = leaf.draw
-        leaf.draw = lambda now, draw=draw: draw(now) * (10.0 if now >= 20 else 1.0)
+        leaf.draw = _slow_after(leaf.draw, 20.0)
     group = Group(leaves=leaves, options=Options(), seed=seed)
     counts = [(0, 0)]
     for at in (20.0, 30.0, 140.0):
@@ -708,6 +713,10 @@
     return figures
 
 
+def _deliver_report(group: Group, tracker: LeafTracker, running: int, queued: int) -> None:
+    tracker.reported(running, queued, group.clock.now())
+
+
 def _schedule_reports(group: Group, idle: str) -> None:
     """Reports load every 0.2 s with a lag of 1 s; the leaf `idle` always reports none."""
 
@@ -718,17 +727,59 @@
             running, queued = leaf.running, len(leaf.waiting)
             if tracker.leaf.id == idle:
                 running = queued = 0
-            group.at(
-                now + 1.0,
-                lambda tracker=tracker, running=running, queued=queued: tracker.reported(
-                    running, queued, group.clock.now()
-                ),
-            )
+            action = functools.partial(_deliver_report, group, tracker, running, queued)
+            group.at(now + 1.0, action)
         group.at(now + 0.2, report)
 
     group.at(0.0, report)
 
 
+def costs(seed: int = 1) -> Figures:
+    """CPU time of single decisions on this machine.
+
+    Args:
+        seed: Seed of ranks and clients.
+
+    Returns:
+        Microseconds for a push with a pop at two queue lengths with 1,000 clients, for a choice
+        among 3 leaves and for a latency sample; and the ratio of the two queue lengths.
+    """
+    source = random.Random(seed)
+    names = list(RANKS)
+    figures: Figures = {}
+    for length in (100, 10_000):
+        queue = make_queue(policy="ranked", ranks=RANKS, max_length=2 * length)
+        numbers = itertools.count()
+
+        def push(queue: CallQueue = queue, numbers: Iterator[int] = numbers) -> None:
+            client = str(source.randrange(1000))
+            rank = source.choice(names)
+            queue.push(QueuedCall(str(next(numbers)), rank, client, 1.0, 0.0, math.inf, None))
+
+        for _ in range(length):
+            push()
+
+        def both(queue: CallQueue = queue, push: Callable[[], None] = push) -> None:
+            push()
+            queue.pop(0.0)
+
+        figures[f"push_pop_us_at_{length}"] = _microseconds(both)
+    figures["push_pop_ratio"] = figures["push_pop_us_at_10000"] / figures["push_pop_us_at_100"]
+    group = Group(leaves=_leaves(3, 4, seed), options=Options(), seed=seed)
+    group.run([Arrivals("search", 300.0)], 2.0)
+    figures["choose_us"] = _microseconds(lambda: group.chooser.choose(group.trackers, 2.0))
+    figures["latency_record_us"] = _microseconds(lambda: group.latency.record(0.01, 2.0))
+    figures["latency_quantile_us"] = _microseconds(lambda: group.latency.quantile(0.95))
+    return _rounded(figures)
+
+
+def _microseconds(action: Callable[[], object], times: int = 20_000) -> float:
+    start = time.process_time()
+    for _ in range(times):
+        action()
+    return (time.process_time() - start) / times * 1e6
+
+
 EXPERIMENTS: dict[str, Callable[[int], Figures]] = {
     "stragglers": stragglers,
     "whole_fleet_slow": whole_fleet_slow,
@@ -739,6 +790,7 @@
     "highest_rank_flood": highest_rank_flood,
     "client_flood": client_flood,
     "replica_cases": replica_cases,
+    "costs": costs,
     "replica_cases_hedged": lambda seed: replica_cases(seed, hedging=True),
 }
 
--- a/filbertreach/dispatch/_latency.py
+++ b/filbertreach/dispatch/_latency.py
@@ -9,6 +9,8 @@
 """Upper bound of the first bucket."""
 _BUCKETS = 340
 """The last bucket starts at about 150 s, beyond any deadline."""
+_STALE_SHARE = 1 / 32
+"""Part of the samples that may be new since a cached quantile was computed."""
 _LOG_GROWTH = math.log(_GROWTH)
 
 
@@ -38,6 +40,8 @@
         self._slice_ends_at = -math.inf
         self._totals = [0] * _BUCKETS
         self._count = 0
+        self._cached: dict[float, float] = {}
+        self._samples_since_cached = 0
 
     @property
     def count(self) -> int:
@@ -57,6 +61,9 @@
         self._slices[-1][bucket] += 1
         self._totals[bucket] += 1
         self._count += 1
+        self._samples_since_cached += 1
+        if self._samples_since_cached > self._count * _STALE_SHARE:
+            self._forget_cached()
 
     def quantile(self, q: float) -> float | None:
         """Returns a quantile.
@@ -69,6 +76,11 @@
         """
         if self._count < self._least_samples:
             return None
+        if q not in self._cached:
+            self._cached[q] = self._compute(q)
+        return self._cached[q]
+
+    def _compute(self, q: float) -> float:
         # The sample of rank ceil(q * count), counted from 1.
         wanted = max(1, math.ceil(q * self._count))
         seen = 0
@@ -81,6 +93,7 @@
     def _turn(self, now: float) -> None:
         self._slices.append([0] * _BUCKETS)
         self._slice_ends_at = now + self._slice_seconds
+        self._forget_cached()
         while len(self._slices) > self._most_slices:
             oldest = sum(self._slices[0])
             if self._count - oldest < self._least_samples:
@@ -90,6 +103,10 @@
                 self._totals[bucket] -= count
             self._count -= oldest
 
+    def _forget_cached(self) -> None:
+        self._cached.clear()
+        self._samples_since_cached = 0
+
     def _merge_oldest(self) -> None:
         """Keeps the samples of the oldest slice for as long as those of the next one."""
         oldest = self._slices.popleft()
--- a/filbertreach/dispatch/_ranked_queue.py
+++ b/filbertreach/dispatch/_ranked_queue.py
@@ -1,5 +1,6 @@
 """The chosen queue: urgent ranks first, kept shares, fair between clients."""
 
+import itertools
 import math
 from collections.abc import Mapping
 
@@ -34,6 +35,9 @@
         self.cost: float | None = None
         """Mean service time of its calls; None before the first sample."""
         self.popped_at = -math.inf
+        """When a call was last taken, in seconds of the dispatch clock."""
+        self.popped_number = -1
+        """Number of its last taken call; ranks of equal priority take turns."""
 
 
 @queue_policy("ranked")
@@ -65,6 +69,7 @@
         unknown = Rank(name="", priority=last + 1, target_ms=0.0, worth=0.0, kept_share=0.0)
         self._unknown = _Lane(unknown)
         self._lanes = [*lanes, self._unknown]
+        self._numbers = itertools.count()
 
     def length_by_rank(self) -> dict[str, int]:
         """Returns the number of waiting calls by rank name; unknown ranks are under ''."""
@@ -115,12 +120,13 @@
         if due:
             chosen = max(due, key=lambda lane: lane.owed / costs[id(lane)])
         else:
-            chosen = min(waiting, key=lambda lane: (lane.rank.priority, -lane.owed))
+            chosen = min(waiting, key=lambda lane: (lane.rank.priority, lane.popped_number))
         cost = costs[id(chosen)]
         for lane in waiting:
             lane.owed += lane.rank.kept_share * cost
         chosen.owed = max(chosen.owed - cost, -_SURPLUS_CALLS * cost)
         chosen.popped_at = now
+        chosen.popped_number = next(self._numbers)
         call = chosen.clients.pop()
         self._settle(chosen)
         return call
--- a/filbertreach/dispatch/tests/test_call_queue.py
+++ b/filbertreach/dispatch/tests/test_call_queue.py
@@ -118,19 +118,30 @@
     slack = sum(costs) + 3 * max(costs)
     for rank, share in zip(ranks, shares, strict=True):
         assert served[rank] >= share * whole - slack
-    assert served["0"] == max(served.values()) or sum(shares[1:]) > 0.3
+    # The most urgent rank gets all that the others do not keep.
+    assert served["0"] >= (1 - sum(shares[1:])) * whole - slack
+
+
+def test_ranks_of_equal_priority_take_turns():
+    ranks = {name: Rank(name, 0, 90.0, 1.0, 0.0) for name in "ab"}
+    queue = make_queue(policy="ranked", ranks=ranks, max_length=100)
+    for number in range(40):
+        queue.push(call(number, "ab"[number % 2]))
+    served = [queue.pop(0.0).rank for _ in range(20)]
+    assert served.count("a") == 10
 
 
 def test_idle_rank_saves_up_no_claim():
     queue = make_queue(policy="ranked", ranks=RANKS, max_length=1000)
-    for number in range(500):
+    for number in range(100):
         queue.push(call(f"b{number}"))
-    for _ in range(200):
-        queue.pop(0.0)
-    for number in range(20):
-        queue.push(call(f"s{number}", "sweep"))
-    served = [queue.pop(0.0).rank for _ in range(50)]
-    assert served.count("sweep") <= 0.1 * 50 + 1
+    queue.push(call("cancelled", "sweep"))
+    for _ in range(9):
+        assert queue.pop(0.0).rank == "booking"
+    queue.remove("cancelled")
+    queue.push(call("sweep", "sweep"))
+    served = [queue.pop(0.0).rank for _ in range(12)]
+    assert served.index("sweep") >= 10
 
 
 @settings(derandomize=True, deadline=None, max_examples=40)
