--- a/experiments/dispatch_decisions.py
+++ b/experiments/dispatch_decisions.py
@@ -7,20 +7,22 @@
 """
 
 import argparse
+import functools
 import heapq
 import itertools
 import json
 import math
 import random
 import sys
+import time
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple
 
 from filbertreach.dispatch._hedging import HedgeBudget, HedgeDelay, may_hedge
 from filbertreach.dispatch._latency import LatencyTracker
 from filbertreach.dispatch._leaf import LeafOutcome, LeafTracker
-from filbertreach.dispatch._queue import QueuedCall, make_queue
+from filbertreach.dispatch._queue import CallQueue, QueuedCall, make_queue
 from filbertreach.dispatch._replicas import make_replica_policy
 from filbertreach.document import Leaf, Pool, Rank
 from filbertreach.timing import FakeClock
@@ -65,6 +67,8 @@
     """Replica policy."""
     hedging: bool = True
     """Whether hedges are sent."""
+    queue_extra: bool = True
+    """Whether hedges and retries without a free leaf go through the queue."""
     budget: float = 0.05
     """Share of the hedge budget."""
     max_length: int = 200
@@ -187,14 +191,14 @@
         call = _Call(item)
         refused = self.queue.push(item._replace(payload=call))
         if refused is not None:
-            self._end(refused.payload, answered=False)
+            self._drop(refused.payload)
         self._pump()
 
     def _pump(self) -> None:
         now = self.clock.now()
         # Calls that likely miss their deadline would only use up a leaf.
         for item in self.queue.expire(now, self.latency.quantile(0.9) or 0.0):
-            self._end(item.payload, answered=False)
+            self._drop(item.payload)
         while self.queue:
             tracker = self.chooser.choose(self.trackers, now, waiting=len(self.queue))
             if tracker is None:
@@ -207,9 +211,13 @@
                     self._wake_at = now + hold
                     self.at(self._wake_at, self._pump)
                 return
-            item = self.queue.pop(now)
-            assert item is not None
-            call = item.payload
+            popped = self.queue.pop(now)
+            assert popped is not None
+            call = popped.payload
+            if call.attempts:
+                if not call.done and not self._send_extra(call):
+                    self._drop(call)
+                continue
             self.first_calls += 1
             self.budget.first_call(slow=self.delay.is_slow)
             self.delay.first_call()
@@ -234,11 +242,15 @@
     def _hedge(self, call: _Call, attempts: int) -> None:
         if call.done or call.attempts != attempts:
             return
-        if (attempts == 1 and not self.delay.overdue()) or not self._extra(call):
-            return
+        if attempts > 1 or self.delay.overdue():
+            self._extra(call)
 
     def _extra(self, call: _Call) -> bool:
-        """Sends a hedge or a retry, if allowed and if another leaf has room."""
+        """Sends a hedge or a retry if allowed, or queues it if no other leaf has room.
+
+        Returns:
+            Whether it was sent or queued.
+        """
         now = self.clock.now()
         if not may_hedge(
             idempotent=True,
@@ -248,14 +260,32 @@
             least=self.latency.quantile(0.5) or 0.0,
         ):
             return False
-        others = [t for t in self.trackers if t.leaf.id not in call.tried] or self.trackers
-        tracker = self.chooser.choose(others, now)
+        if self._send_extra(call):
+            return True
+        if not self.options.queue_extra:
+            return False
+        call_id = f"{call.item.call_id}#{call.attempts}"
+        if self.queue.remove(call_id) is None and not self.budget.has_token:
+            return False
+        refused = self.queue.push(call.item._replace(call_id=call_id, payload=call))
+        if refused is not None:
+            self._drop(refused.payload)
+        return refused is None or refused.payload is not call
+
+    def _send_extra(self, call: _Call) -> bool:
+        others = [tracker for tracker in self.trackers if tracker.leaf.id not in call.tried]
+        tracker = self.chooser.choose(others or self.trackers, self.clock.now())
         if tracker is None or not self.budget.try_take():
             return False
         self.extra_calls += 1
         self._send(call, tracker)
         return True
 
+    def _drop(self, call: _Call) -> None:
+        """Ends a call that left the queue unserved, unless an attempt is still out."""
+        if not call.in_flight and not call.done:
+            self._end(call, answered=False)
+
     def ended(self, attempt: "_Attempt", outcome: LeafOutcome) -> None:
         """Handles the end of an attempt."""
         now = self.clock.now()
@@ -275,6 +305,7 @@
 
     def _end(self, call: _Call, *, answered: bool) -> None:
         call.done = True
+        self.queue.remove(f"{call.item.call_id}#{call.attempts}")
         for attempt in call.in_flight:
             attempt.cancel(LeafOutcome.CANCELLED)
         self.results.append((call.item, self.clock.now() - call.arrived_at, answered))
@@ -432,6 +463,10 @@
     )
 
 
+def _slow_after(draw: Callable[[float], float], at: float) -> Callable[[float], float]:
+    return lambda now: draw(now) * (10.0 if now >= at else 1.0)
+
+
 def whole_fleet_slow(seed: int = 1, sigma: float = 0.15) -> Figures:
     """After 20 s every leaf takes 10 times as long, for 120 s.
 
@@ -444,8 +479,7 @@
     """
     leaves = _leaves(3, 4, seed, sigma)
     for leaf in leaves:
-        draw = leaf.draw
-        leaf.draw = lambda now, draw=draw: draw(now) * (10.0 if now >= 20 else 1.0)
+        leaf.draw = _slow_after(leaf.draw, 20.0)
     group = Group(leaves=leaves, options=Options(), seed=seed)
     counts = [(0, 0)]
     for at in (20.0, 30.0, 140.0):
@@ -637,27 +671,35 @@
 }
 
 
-def replica_cases(seed: int = 1, hedging: bool = False) -> Figures:
+def replica_cases(
+    seed: int = 1,
+    *,
+    hedging: bool = False,
+    seconds: float = 30.0,
+    faults: Iterable[str] = tuple(_FAULTS),
+) -> Figures:
     """One of three leaves has a fault; every leaf reports its load, 1 s late, a faulty one 0.
 
     Args:
         seed: Seed of arrivals and service times.
         hedging: Whether hedges are sent too.
+        seconds: Length of each run.
+        faults: Names of the faults.
 
     Returns:
         For each fault and replica policy the p99 in ms, the share of calls answered in time and
         the share of calls that went to the faulty leaf.
     """
     figures: Figures = {}
-    for fault, apply in _FAULTS.items():
+    for fault in faults:
         figures[fault] = {}
         for policy in ("least_expected_wait", "round_robin", "trust_report"):
             leaves = _leaves(3, 4, seed)
-            apply(leaves[0])
+            _FAULTS[fault](leaves[0])
             options = Options(replicas=policy, hedging=hedging)
             group = Group(leaves=leaves, options=options, seed=seed)
             _schedule_reports(group, idle="leaf-0")
-            group.run([Arrivals("search", 400.0, deadline_seconds=0.2)], 30.0)
+            group.run([Arrivals("search", 400.0, deadline_seconds=0.2)], seconds)
             results = [row for row in group.results if row[0].enqueued_at >= 1.0]
             answered = [seconds for _, seconds, in_time in results if in_time]
             figures[fault][policy] = _rounded(
@@ -671,6 +713,10 @@
     return figures
 
 
+def _deliver_report(group: Group, tracker: LeafTracker, running: int, queued: int) -> None:
+    tracker.reported(running, queued, group.clock.now())
+
+
 def _schedule_reports(group: Group, idle: str) -> None:
     """Reports load every 0.2 s with a lag of 1 s; the leaf `idle` always reports none."""
 
@@ -681,17 +727,59 @@
             running, queued = leaf.running, len(leaf.waiting)
             if tracker.leaf.id == idle:
                 running = queued = 0
-            group.at(
-                now + 1.0,
-                lambda tracker=tracker, running=running, queued=queued: tracker.reported(
-                    running, queued, group.clock.now()
-                ),
-            )
+            action = functools.partial(_deliver_report, group, tracker, running, queued)
+            group.at(now + 1.0, action)
         group.at(now + 0.2, report)
 
     group.at(0.0, report)
 
 
+def costs(seed: int = 1) -> Figures:
+    """CPU time of single decisions on this machine.
+
+    Args:
+        seed: Seed of ranks and clients.
+
+    Returns:
+        Microseconds for a push with a pop at two queue lengths with 1,000 clients, for a choice
+        among 3 leaves and for a latency sample; and the ratio of the two queue lengths.
+    """
+    source = random.Random(seed)
+    names = list(RANKS)
+    figures: Figures = {}
+    for length in (100, 10_000):
+        queue = make_queue(policy="ranked", ranks=RANKS, max_length=2 * length)
+        numbers = itertools.count()
+
+        def push(queue: CallQueue = queue, numbers: Iterator[int] = numbers) -> None:
+            client = str(source.randrange(1000))
+            rank = source.choice(names)
+            queue.push(QueuedCall(str(next(numbers)), rank, client, 1.0, 0.0, math.inf, None))
+
+        for _ in range(length):
+            push()
+
+        def both(queue: CallQueue = queue, push: Callable[[], None] = push) -> None:
+            push()
+            queue.pop(0.0)
+
+        figures[f"push_pop_us_at_{length}"] = _microseconds(both)
+    figures["push_pop_ratio"] = figures["push_pop_us_at_10000"] / figures["push_pop_us_at_100"]
+    group = Group(leaves=_leaves(3, 4, seed), options=Options(), seed=seed)
+    group.run([Arrivals("search", 300.0)], 2.0)
+    figures["choose_us"] = _microseconds(lambda: group.chooser.choose(group.trackers, 2.0))
+    figures["latency_record_us"] = _microseconds(lambda: group.latency.record(0.01, 2.0))
+    figures["latency_quantile_us"] = _microseconds(lambda: group.latency.quantile(0.95))
+    return _rounded(figures)
+
+
+def _microseconds(action: Callable[[], object], times: int = 20_000) -> float:
+    start = time.process_time()
+    for _ in range(times):
+        action()
+    return (time.process_time() - start) / times * 1e6
+
+
 EXPERIMENTS: dict[str, Callable[[int], Figures]] = {
     "stragglers": stragglers,
     "whole_fleet_slow": whole_fleet_slow,
@@ -702,6 +790,7 @@
     "highest_rank_flood": highest_rank_flood,
     "client_flood": client_flood,
     "replica_cases": replica_cases,
+    "costs": costs,
     "replica_cases_hedged": lambda seed: replica_cases(seed, hedging=True),
 }
 
--- a/filbertreach/dispatch/_latency.py
+++ b/filbertreach/dispatch/_latency.py
@@ -9,9 +9,8 @@
 """Upper bound of the first bucket."""
 _BUCKETS = 340
 """The last bucket starts at about 150 s, beyond any deadline."""
-_CACHED_SAMPLES = 16
-"""Samples after which a quantile is computed anew. One pass over the buckets costs 40 us, a tenth
-of a call's CPU, and quantiles are asked for several times a call."""
+_STALE_SHARE = 1 / 32
+"""Part of the samples that may be new since a cached quantile was computed."""
 _LOG_GROWTH = math.log(_GROWTH)
 
 
@@ -41,7 +40,8 @@
         self._slice_ends_at = -math.inf
         self._totals = [0] * _BUCKETS
         self._count = 0
-        self._quantile_by_share: dict[float, float] = {}
+        self._cached: dict[float, float] = {}
+        self._samples_since_cached = 0
 
     @property
     def count(self) -> int:
@@ -61,8 +61,9 @@
         self._slices[-1][bucket] += 1
         self._totals[bucket] += 1
         self._count += 1
-        if self._count % _CACHED_SAMPLES == 0:
-            self._quantile_by_share.clear()
+        self._samples_since_cached += 1
+        if self._samples_since_cached > self._count * _STALE_SHARE:
+            self._forget_cached()
 
     def quantile(self, q: float) -> float | None:
         """Returns a quantile.
@@ -75,10 +76,9 @@
         """
         if self._count < self._least_samples:
             return None
-        known = self._quantile_by_share.get(q)
-        if known is None:
-            known = self._quantile_by_share[q] = self._compute(q)
-        return known
+        if q not in self._cached:
+            self._cached[q] = self._compute(q)
+        return self._cached[q]
 
     def _compute(self, q: float) -> float:
         # The sample of rank ceil(q * count), counted from 1.
@@ -91,9 +91,9 @@
         return _middle(_BUCKETS - 1)
 
     def _turn(self, now: float) -> None:
-        self._quantile_by_share.clear()
         self._slices.append([0] * _BUCKETS)
         self._slice_ends_at = now + self._slice_seconds
+        self._forget_cached()
         while len(self._slices) > self._most_slices:
             oldest = sum(self._slices[0])
             if self._count - oldest < self._least_samples:
@@ -103,6 +103,10 @@
                 self._totals[bucket] -= count
             self._count -= oldest
 
+    def _forget_cached(self) -> None:
+        self._cached.clear()
+        self._samples_since_cached = 0
+
     def _merge_oldest(self) -> None:
         """Keeps the samples of the oldest slice for as long as those of the next one."""
         oldest = self._slices.popleft()
