Test ties at the merge limit and the end of client levels

Cause: two mechanisms could be removed without a failing test. Change: a test for each; both were seen to fail in a scratch copy without the mechanism.

--- a/filbertreach/entry/tests/test_admission.py
+++ b/filbertreach/entry/tests/test_admission.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from filbertreach.entry._admission import Admit, QueryFacts, Refuse, make_admission
-from filbertreach.entry._fair_share import fair_level
+from filbertreach.entry._fair_share import FairShare, Standing, fair_level
 from filbertreach.timing import FakeClock
 
 QUERY = QueryFacts("shop", "booking", 0, "hotel", 1.0, ("fleet", "orders"), 1.0, 0.1, 0.2)
@@ -217,6 +217,17 @@
     assert len(admitted_of(admission, [QUERY], now + 60.0)) == 1
 
 
+def test_level_of_an_earlier_flood_is_forgotten():
+    shares = FairShare()
+    for step in range(100):
+        shares.arrive("flood", 1.0, 1.0, step * 0.001)
+    shares.full(0.1)
+    standings = [shares.arrive("flood", 1.0, 1.0, 0.1 + step * 0.001) for step in range(1, 5)]
+    assert standings[1:] == [Standing.HELD_BACK] * 3
+    assert shares.arrive("flood", 1.0, 1.0, 2.0) is not Standing.HELD_BACK
+    assert not shares.limiting
+
+
 @settings(derandomize=True, deadline=None)
 @given(
     st.lists(st.tuples(st.floats(0.1, 100), st.floats(0.1, 10)), min_size=1, max_size=10),
--- a/filbertreach/entry/tests/test_merging.py
+++ b/filbertreach/entry/tests/test_merging.py
@@ -94,3 +94,8 @@
 def test_integer_that_no_float_holds_is_ordered():
     rows = {"a": [{"price": 10**400}, {"price": 1.5}]}
     assert merge("top", rows, 2) == [{"price": 1.5}, {"price": 10**400}]
+
+
+def test_tie_with_the_last_kept_row_goes_to_the_first_shard_by_name():
+    rows = {"c": [{"price": 1}] * 3, "a": [{"price": 1, "shard": "a"}]}
+    assert merge("top", rows, 1) == [{"price": 1, "shard": "a"}]
