Validate each text once

Cause: parsing a document of 870 kB took 0.78 s, and the same text was parsed as proposal and again as accepted document. Change: the result of the last 16 checks is kept by digest. Figures: 8.8 kB 13 ms, 87 kB 66 ms, 522 kB 454 ms, 870 kB 782 ms for one parse (trial). Conclusion: one parse for a change, below the silence bound of 2 s.

--- a/filbertreach/agent/_documents.py
+++ b/filbertreach/agent/_documents.py
@@ -6,7 +6,7 @@
 
 from returns.result import Success
 
-from filbertreach.agent._values import DocumentValue
+from filbertreach.agent._values import DocumentValue, digest_of
 from filbertreach.document import parse_document
 
 NEWS_SECONDS = 5.0
@@ -14,6 +14,7 @@
 _CLEARING_MARGIN_SECONDS = 1.0
 """A peer's news must be newer than a proposal by this much to show that it was withdrawn; covers
 the time that the peer's message was under way."""
+_REMEMBERED_CHECKS = 16
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -49,8 +50,7 @@
         self.proposal_by_environment: dict[str, Proposal] = {}
         self.news_at = -math.inf
         """Time as of which nothing newer than what is known here was accepted or proposed."""
-        self._refused: set[tuple[str, int]] = set()
-        self._refused_digests: set[str] = set()
+        self._is_usable_by_digest: dict[tuple[str, str], bool] = {}
 
     @property
     def generations(self) -> dict[str, int]:
@@ -75,10 +75,9 @@
         Returns:
             Whether the document is new.
         """
-        if generation <= self.generation(environment) or (environment, generation) in self._refused:
+        if generation <= self.generation(environment):
             return False
-        if not _is_usable(environment, generation, text):
-            self._refused.add((environment, generation))
+        if not self._check(environment, generation, text):
             return False
         document = AcceptedDocument(environment, generation, text)
         self.accepted_by_environment[environment] = document
@@ -106,13 +105,8 @@
                 generation=generation, known_at=max(now, known.known_at)
             )
             return known.generation != generation
-        digest = value["digest"]
-        if digest not in self._refused_digests and not _is_usable(
-            environment, generation, value["text"]
-        ):
-            self._refused_digests.add(digest)
-        if digest in self._refused_digests:
-            digest = ""
+        is_usable = self._check(environment, generation, value["text"])
+        digest = value["digest"] if is_usable else ""
         self.proposal_by_environment[environment] = Proposal(generation, digest, now)
         return True
 
@@ -169,6 +163,17 @@
             return True
         return reaches_majority or now - self.news_at <= NEWS_SECONDS
 
+    def _check(self, environment: str, generation: int, text: str) -> bool:
+        """Validates a text once: 1 MB takes 0.8 s, and the same text is proposed and accepted."""
+        key = (environment, digest_of(text))
+        known = self._is_usable_by_digest.pop(key, None)
+        if known is None:
+            known = _is_usable(environment, generation, text)
+        self._is_usable_by_digest[key] = known
+        while len(self._is_usable_by_digest) > _REMEMBERED_CHECKS:
+            del self._is_usable_by_digest[next(iter(self._is_usable_by_digest))]
+        return known
+
 
 def _is_usable(environment: str, generation: int, text: str) -> bool:
     result = parse_document(text=text, source=environment, generation=generation)
