Stop serving an undecided environment when the agent is lost

Cause: a host that has confirmed a proposal and whose agent then hangs or dies served the old generation for as long as that lasted, although the new one was accepted. Change: views say which environments are undecided; a process that does not hear its agent for 5 s stops serving these. Conclusion: outside a change the loss of an agent still stops nothing.

--- a/filbertreach/agent/_agent.py
+++ b/filbertreach/agent/_agent.py
@@ -248,6 +248,7 @@
                 view_content(
                     documents=list(self.book.accepted_by_environment.values()),
                     usable_by_environment=usable,
+                    undecided=self.book.proposal_by_environment,
                     members=self.roster.members(),
                     leaving_addresses=self._board.news["leaving_addresses"],
                 )
--- a/filbertreach/agent/_local.py
+++ b/filbertreach/agent/_local.py
@@ -2,7 +2,7 @@
 
 import logging
 import math
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import NamedTuple, cast
 
 from filbertreach.agent._documents import AcceptedDocument
@@ -25,6 +25,8 @@
     """Accepted documents."""
     usable_by_environment: dict[str, bool]
     """Whether the host may serve the environment."""
+    undecided: frozenset[str]
+    """Environments with a proposal that may have been accepted."""
     members: list[Member]
     """Known processes of the fleet."""
     leaving_addresses: list[str]
@@ -164,6 +166,7 @@
                 generation=generation,
                 text=document.text if known < generation else "",
                 usable=content.usable_by_environment[name],
+                undecided=name in content.undecided,
             )
         )
     return View(
@@ -178,6 +181,7 @@
     *,
     documents: Sequence[AcceptedDocument],
     usable_by_environment: dict[str, bool],
+    undecided: Collection[str],
     members: list[Member],
     leaving_addresses: list[str],
 ) -> ViewContent:
@@ -186,12 +190,14 @@
     Args:
         documents: Accepted documents.
         usable_by_environment: Whether the host may serve the environment.
+        undecided: Environments with a proposal that may have been accepted.
         members: Known processes.
         leaving_addresses: Addresses of leaving backend servers.
     """
     return ViewContent(
         documents=tuple(sorted(documents)),
         usable_by_environment=usable_by_environment,
+        undecided=frozenset(undecided),
         members=sorted(members, key=lambda member: member["name"]),
         leaving_addresses=sorted(leaving_addresses),
     )
--- a/filbertreach/agent/tests/test_agent_processes.py
+++ b/filbertreach/agent/tests/test_agent_processes.py
@@ -254,6 +254,32 @@
     anyio.run(run)
 
 
+@pytest.mark.parametrize("undecided", [True, False])
+def test_processes_whose_agent_is_paused_stop_only_while_a_proposal_is_undecided(undecided):
+    async def run():
+        async with _running(3) as (fleet, processes):
+            if undecided:
+                await _put(fleet, "proposed", 2)
+                assert await _prepared(fleet, 2)
+            fleet.signal("host-2", signal.SIGSTOP)
+            if undecided:
+                await _accept(fleet, 2)
+
+            async def stopped():
+                return not processes["host-2"].view.usable("shop")
+
+            assert await _until(stopped, _NEWS_SECONDS + 4.0) is undecided
+            fleet.signal("host-2", signal.SIGCONT)
+
+            async def usable():
+                return processes["host-2"].view.usable("shop")
+
+            assert await _in_force(processes.values(), 2 if undecided else 1)
+            assert await _until(usable, _IN_FORCE_SECONDS)
+
+    anyio.run(run)
+
+
 def _members(process):
     return {member["name"] for member in process.view.members}
 
--- a/filbertreach/membership/_client.py
+++ b/filbertreach/membership/_client.py
@@ -12,11 +12,15 @@
 
 from filbertreach.document import Environment, parse_document
 from filbertreach.schema import DocumentCopy, Hello, Member, ProcessSection, View, ViewSection
+from filbertreach.timing import Clock, SystemClock
 from filbertreach.transport import Received, Transport
 
 HELLO_SECONDS = 0.5
 """Time between two hello messages to the agent."""
 
+AGENT_NEWS_SECONDS = 5.0
+"""Time without the agent after which an undecided proposal counts as perhaps accepted."""
+
 Role = Literal["entry", "dispatch", "agent"]
 """Program of a member."""
 State = Literal["starting", "live", "leaving", "gone"]
@@ -47,6 +51,7 @@
         role: Literal["entry", "dispatch"],
         transport: Transport,
         on_change: Callable[[], None] = lambda: None,
+        clock: Clock | None = None,
     ) -> None:
         """Prepares a view without documents and members.
 
@@ -56,6 +61,7 @@
             role: Program of this process.
             transport: Transport of this process, entered before this client.
             on_change: Called without arguments after each change of the view.
+            clock: Source of time.
         """
         self.environment_by_name: dict[str, Environment] = {}
         """Newest generation of each document."""
@@ -70,6 +76,9 @@
         self._view = view
         self._transport = transport
         self._usable_by_name: dict[str, bool] = {}
+        self._undecided: set[str] = set()
+        self._clock = clock or SystemClock()
+        self._agent_heard_at = self._clock.now()
         self._group: anyio.abc.TaskGroup | None = None
         self._member = Member(
             name=process["name"],
@@ -128,8 +137,17 @@
             self.on_change()
 
     def usable(self, environment: str) -> bool:
-        """Returns whether this host may serve the environment now."""
-        return environment in self.environment_by_name and self._usable_by_name[environment]
+        """Returns whether this host may serve the environment now.
+
+        It may not while an undecided proposal may have been accepted without this host: when the
+        agent says so, and when the agent is lost during a change.
+        """
+        if environment not in self.environment_by_name or not self._usable_by_name[environment]:
+            return False
+        return environment not in self._undecided or not self._agent_is_lost()
+
+    def _agent_is_lost(self) -> bool:
+        return self._clock.now() - self._agent_heard_at > AGENT_NEWS_SECONDS
 
     def on_view(self, received: Received) -> None:
         """Takes over a `view` message of the agent.
@@ -142,6 +160,10 @@
             return
         view = cast(View, received.message)
         installed = [self._install(copy) for copy in view["documents"]]
+        self._undecided = {
+            copy["environment"] for copy in view["documents"] if copy.get("undecided", False)
+        }
+        self._agent_heard_at = self._clock.now()
         self.members = view["members"]
         self.leaving_addresses = frozenset(view["leaving_addresses"])
         self.is_loaded = True
@@ -176,7 +198,12 @@
     async def _greet(self) -> None:
         while True:
             self._send_hello()
+            was_lost = self._agent_is_lost()
             await anyio.sleep(HELLO_SECONDS)
+            if self._transport.is_reachable(self._agent):
+                self._agent_heard_at = self._clock.now()
+            if self._undecided and self._agent_is_lost() != was_lost:
+                self.on_change()
 
     def _send_hello(self) -> None:
         generations = {
--- a/filbertreach/membership/tests/test_client.py
+++ b/filbertreach/membership/tests/test_client.py
@@ -4,6 +4,7 @@
 import pytest
 
 from filbertreach.membership import ViewClient, ViewError
+from filbertreach.timing import FakeClock
 from filbertreach.transport import Received
 
 TEXT = "[environment]\nname = shop\n"
@@ -25,6 +26,9 @@
     def __init__(self):
         self.sent = []
 
+    def is_reachable(self, address):
+        return False
+
     def keep(self, addresses):
         self.kept = addresses
 
@@ -82,6 +86,26 @@
     assert not client.is_loaded
 
 
+@pytest.mark.parametrize(
+    ("undecided", "seconds", "usable"),
+    [(False, 3600.0, True), (True, 4.0, True), (True, 6.0, False)],
+)
+def test_a_lost_agent_stops_an_environment_only_during_a_change(undecided, seconds, usable):
+    clock = FakeClock()
+    client = ViewClient(
+        process=PROCESS,
+        view={"agent": AGENT},
+        role="entry",
+        transport=_Transport(),
+        clock=clock,
+    )
+    received = _received([(2, TEXT, True)])
+    received.message["documents"][0]["undecided"] = undecided
+    client.on_view(received)
+    clock.advance(seconds)
+    assert client.usable("shop") is usable
+
+
 def test_hello_carries_state_and_generations():
     async def run():
         transport = _Transport()
--- a/filbertreach/schema/_generated_messages.py
+++ b/filbertreach/schema/_generated_messages.py
@@ -299,6 +299,10 @@
     """
     False while the host may not serve this environment (undecided proposal without news).
     """
+    undecided: NotRequired[bool]
+    """
+    True while the host has confirmed or heard of a proposal that may have been accepted; not usable then once the agent is unheard for 5 s.
+    """
 
 
 class View(TypedDict):
