--- a/filbertreach/agent/__init__.py
+++ b/filbertreach/agent/__init__.py
@@ -8,6 +8,7 @@
     DocumentValue,
     HostRecord,
     InForce,
+    digest_of,
     parse_document_value,
     parse_host_record,
 )
@@ -22,6 +23,7 @@
     "HostRecord",
     "InForce",
     "ValueFormatError",
+    "digest_of",
     "parse_document_value",
     "parse_host_record",
 ]
--- a/filbertreach/agent/_values.py
+++ b/filbertreach/agent/_values.py
@@ -1,5 +1,6 @@
 """Values that agents and operators exchange through the key-value service."""
 
+import hashlib
 from typing import NotRequired
 
 import msgspec
@@ -69,6 +70,11 @@
     """Entry and dispatch processes of the host."""
 
 
+def digest_of(text: str) -> str:
+    """Returns the SHA-256 of the text's UTF-8 bytes, in hexadecimal."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
 def parse_document_value(*, key: str, value: str) -> Result[DocumentValue, ValueFormatError]:
     """Reads the value of `/proposed` or `/accepted`.
 
