--- a/experiments/admission.py
+++ b/experiments/admission.py
@@ -13,10 +13,12 @@
 import json
 import math
 import random
+import time
 from collections import OrderedDict, deque
 from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
+from filbertreach.document import Environment, parse_document
 from filbertreach.entry._admission import (
     AdmissionController,
     Admit,
@@ -24,6 +26,7 @@
     QueryFacts,
     make_admission,
 )
+from filbertreach.entry._snapshots import SnapshotChooser
 from filbertreach.entry._waiting import ShardLatency, make_wait_policy
 from filbertreach.schema import ServiceLoad
 from filbertreach.timing import FakeClock
@@ -596,6 +599,98 @@
     return now - started, included
 
 
+def snapshot_roll(seed: int, *, services: int = 50, seconds: float = 60.0) -> dict[str, Any]:
+    """Choices while a new version becomes serving before every service has it.
+
+    Each service loads the new version at a random time in 20 s, and half of them are reported by
+    two owners of which one lags by 2 s. Compared with taking the newest serving snapshot, and with
+    a chooser without the hold.
+    """
+    randomness = random.Random(seed)
+    loaded = [randomness.uniform(5.0, 25.0) for _ in range(services)]
+    document = _snapshot_document(services)
+    return {
+        "newest that services have": _roll(SnapshotChooser(), document, loaded, seconds),
+        "without the hold": _roll(SnapshotChooser(hold_seconds=0.0), document, loaded, seconds),
+        "newest serving": _roll(
+            SnapshotChooser(hold_seconds=0.0, max_age_seconds=-1.0), document, loaded, seconds
+        ),
+    }
+
+
+def _snapshot_document(services: int) -> Environment:
+    names = [f"service-{index}" for index in range(services)]
+    parts = ["[environment]\nname = trial\n[pool p]\nslots = 1\nconnections = 2\n"]
+    for index, name in enumerate(names):
+        parts.append(f"[service {name}]\npool = p\nleaves = l{index} 127.0.0.1:9 a/a-1\n")
+    lines = "".join(f"    {name} {name}\n" for name in names)
+    parts.append(f"[map one]\nshards =\n{lines}")
+    parts += [f"[snapshot {version}]\nmap = one\nstate = serving\n" for version in (41, 42)]
+    return parse_document(text="".join(parts)).unwrap()
+
+
+def _roll(
+    chooser: SnapshotChooser, document: Environment, loaded: Sequence[float], seconds: float
+) -> dict[str, float]:
+    names = list(document.services_by_name)
+    changes, lacking, before = 0, 0.0, 41
+    steps = int(seconds / REPORT_SECONDS)
+    for step in range(steps):
+        now = step * REPORT_SECONDS
+        for index, name in enumerate(names):
+            lag = 2.0 if index % 2 and step % 2 else 0.0
+            has = now >= loaded[index] + lag
+            chooser.on_load(
+                ServiceLoad(
+                    environment="trial",
+                    service=name,
+                    queue_ms_by_rank={},
+                    throughput_per_s=1.0,
+                    versions=[41, 42] if has else [41],
+                ),
+                now,
+            )
+        chosen = chooser.choose(environment=document, services_of=lambda _: names, now=now)
+        assert chosen is not None
+        changes += chosen.version != before
+        before = chosen.version
+        if chosen.version == 42:
+            lacking += sum(now < at for at in loaded) / len(loaded)
+    return {"changes": changes, "mean_share_lacking": round(lacking / steps, 4)}
+
+
+def decision_cost(seed: int, *, queries: int = 2000) -> dict[str, Any]:
+    """CPU time of a decision in microseconds, by the number of services that a query needs.
+
+    `seed` is not used; these are the only figures that depend on the machine.
+    """
+    result: dict[str, Any] = {}
+    for needed in (1, 100, 580):
+        services = tuple(f"service-{index}" for index in range(needed))
+        facts = QueryFacts("trial", "booking", 0, "hotel", 1.0, services, 1.0, 0.09, 0.2)
+        admission = make_admission(
+            policy="queue_estimate", max_queries=STATIC_LIMIT, clock=FakeClock()
+        )
+        started = time.process_time()
+        for index in range(queries):
+            admitted = admission.decide(facts, index * 0.004)
+            assert isinstance(admitted, Admit)
+            admission.on_finished(admitted, 0.01, "answered", index * 0.004, 0.001)
+        admit = time.process_time() - started
+        now = queries * 0.004
+        while isinstance(admission.decide(facts, now), Admit):
+            pass
+        started = time.process_time()
+        for index in range(queries):
+            admission.decide(facts, now + index * 0.0001)
+        refuse = time.process_time() - started
+        result[str(needed)] = {
+            "admit_and_finish_us": round(1e6 * admit / queries, 1),
+            "refuse_us": round(1e6 * refuse / queries, 1),
+        }
+    return result
+
+
 EXPERIMENTS: dict[str, Callable[[int], dict[str, Any]]] = {
     "goodput_by_load": goodput_by_load,
     "capacity_lost": capacity_lost,
@@ -606,6 +701,8 @@
     "recovery": recovery,
     "feedback": feedback,
     "waiting": waiting,
+    "snapshot_roll": snapshot_roll,
+    "decision_cost": decision_cost,
 }
 
 
