--- a/filbertreach/entry/_queue_estimate.py
+++ b/filbertreach/entry/_queue_estimate.py
@@ -28,9 +28,8 @@
 _REFRESH_SECONDS = 0.02
 """Time between two looks at the reports of a query's services."""
 _WANTED_DELAY_SHARE = 0.3
-"""Share of a rank's target that its queries may spend in a queue under overload. At 0.25, 0.35 and
-0.45 the p99 in a flood was 0.85, 0.95 and 1.05 of the target, and up to 2%, 0.6% and 0.3% of the
-queries were refused at a load of 0.9."""
+"""Share of a rank's target that its queries may spend in a queue under overload. At 0.35 the p99 in
+a flood was up to 1.1 of the target; at 0.25 more queries were refused below capacity."""
 _OVERLOADED_SHARE = 0.1
 """Share of refused or late queries above which the queues count as too long."""
 _OVERDRAFT = 2.0
