Tell admission the queueing delay of answers; assume a latency for new leaves

Cause: admission takes the queue's share of latency, and a service whose leaves had not answered was reported with an infinite wait. Change: the longest queue_ms of a query's answers goes to on_finished; 20 ms are assumed for a leaf without answers.

--- a/filbertreach/dispatch/_service.py
+++ b/filbertreach/dispatch/_service.py
@@ -43,6 +43,9 @@
 """A cancelled attempt whose leaf does not end it in this time costs its connection."""
 _DEADLINE_GRACE_SECONDS = 0.05
 """Time for a leaf that gives up at the deadline to say so before its connection is closed."""
+_ASSUMED_LATENCY_SECONDS = 0.02
+"""Latency of a leaf that has not answered yet. Without an assumption the first calls would be
+reported to wait for ever, and entry processes would refuse queries."""
 _MOST_RETRY_LOOKUPS = 64
 """Calls that wait for a second leaf and are looked at in one round."""
 _UNUSED_SECONDS = 30.0
@@ -275,8 +278,9 @@
         total = 0.0
         for link in self._link_by_leaf.values():
             tracker = link.tracker
-            if tracker.state in ("ready", "starting") and tracker.mean_latency:
-                total += tracker.limit.limit / tracker.mean_latency
+            if tracker.state in ("ready", "starting"):
+                latency = tracker.mean_latency or _ASSUMED_LATENCY_SECONDS
+                total += tracker.limit.limit / latency
         return total
 
     # Sending.
--- a/filbertreach/entry/_daemon.py
+++ b/filbertreach/entry/_daemon.py
@@ -292,7 +292,10 @@
         finally:
             self._abandon(gather)
             now = self.clock.now()
-            self._admission.on_finished(admitted, now - started_at, ended, now)
+            queue_seconds = None if gather.queue_ms is None else gather.queue_ms / 1000.0
+            self._admission.on_finished(
+                admitted, now - started_at, ended, now, queue_seconds=queue_seconds
+            )
 
     async def _claim(self, query: Query) -> str | None:
         """Claims the request id of a request that must run at most once."""
--- a/filbertreach/entry/_gather.py
+++ b/filbertreach/entry/_gather.py
@@ -82,6 +82,8 @@
         self.span = span
         self.outstanding_by_id: dict[str, OutstandingCall] = {}
         self.cancelled = False
+        self.queue_ms: float | None = None
+        """Longest `queue_ms` of the answers so far."""
         self._coverage = Coverage(shards=shards)
         self._merger = merger
         self._wait = wait
@@ -109,6 +111,7 @@
         if call is None:
             return
         self._may_have_run = True
+        self.queue_ms = max(self.queue_ms or 0.0, answer["queue_ms"])
         if answer["query_id"] != self.query.request_id or answer["shard"] != call.shard:
             self._lack(call.shard, "invalid_response", now)
             return
