Judge a leaf that is back by its new answers

Cause: failures and cut-off calls of a stuck leaf were held against it after its return. Change: a restart clears the mean latency and the failure rate; the failure rate is believed less while the leaf is idle. Conclusion: the leaf gets its share again.

--- a/experiments/dispatch_decisions.py
+++ b/experiments/dispatch_decisions.py
@@ -518,7 +518,7 @@
 
 
 def lowest_rank_flood(seed: int = 1, pool: str = "2x2", sigma: float = 0.15) -> Figures:
-    """The lowest rank floods at 10 times capacity from 75 s to 95 s, after 40 s at 1.1 times.
+    """The lowest rank floods at 10 times capacity from 75 s to 135 s, after 40 s at 1.1 times.
 
     Args:
         seed: Seed of arrivals and service times.
@@ -534,17 +534,17 @@
     capacity = count * shape.slots / (mean + 2 * NETWORK_SECONDS)
     urgent = Arrivals("booking", 0.1 * capacity, "desk", deadline_seconds=0.09)
     peak = Arrivals("sweep", 1.1 * capacity, "ledger", 30.0, 70.0, 0.9)
-    flood = Arrivals("sweep", 10 * capacity, "ledger", 75.0, 95.0, 0.9)
+    flood = Arrivals("sweep", 10 * capacity, "ledger", 75.0, 135.0, 0.9)
     figures: Figures = {}
     for policy in (*_POLICIES, "ranked_without_spacing"):
         options = Options(queue=policy.split("_")[0], pool=shape, spacing=policy == "ranked")
         leaves = _leaves(count, shape.slots, seed, sigma)
         group = Group(leaves=leaves, options=options, seed=seed)
-        group.run([urgent, flood, peak], 101.0)
+        group.run([urgent, flood, peak], 141.0)
         before = _rank_figures(group, "booking", 1.0, 30.0)
-        during = _rank_figures(group, "booking", 75.0, 95.0)
-        after = _rank_figures(group, "booking", 96.0, 100.0)
-        whole = during["answered_per_second"] + _answered_between(group, "sweep", 75.0, 95.0)
+        during = _rank_figures(group, "booking", 75.0, 135.0)
+        after = _rank_figures(group, "booking", 136.0, 140.0)
+        whole = during["answered_per_second"] + _answered_between(group, "sweep", 75.0, 135.0)
         best = _answered_between(group, "booking", 62.0, 70.0) + _answered_between(
             group, "sweep", 62.0, 70.0
         )
--- a/filbertreach/dispatch/_leaf.py
+++ b/filbertreach/dispatch/_leaf.py
@@ -147,8 +147,8 @@
         in_flight = self.in_flight
         self._remove_start(now - latency_seconds)
         if outcome is LeafOutcome.OK:
-            self._learn_latency(latency_seconds, now)
             self._succeeded()
+            self._learn_latency(latency_seconds, now)
             self.limit.succeeded(latency_seconds, in_flight, now)
         elif outcome is LeafOutcome.REFUSED:
             self._learn_failure(1.0)
@@ -205,7 +205,8 @@
         slots = self.pool.slots
         ahead = self.in_flight + self._others(now)
         waiting = max(0.0, ahead + 1 - slots) / slots
-        failing = self._failure_rate * _FAILURE_PENALTY * max(typical_seconds, latency)
+        failure_rate = self._failure_rate * self._belief(now)
+        failing = failure_rate * _FAILURE_PENALTY * max(typical_seconds, latency)
         return latency * (1.0 + waiting) + failing
 
     def is_stuck(self, now: float, typical_seconds: float) -> bool:
@@ -231,11 +232,15 @@
             if age > _STUCK_FACTOR * known:
                 known = max(known, age)
         elif self._mean is not None:
-            # Back to the typical latency with time, so that a leaf that was slow is tried again.
-            idle = max(0.0, now - self._last_started_at)
-            known = typical_seconds + (known - typical_seconds) * math.exp(-idle / _FORGET_SECONDS)
+            known = typical_seconds + (known - typical_seconds) * self._belief(now)
         return known
 
+    def _belief(self, now: float) -> float:
+        """Weight of what was seen; it falls with idle time, so that a bad leaf is tried again."""
+        if self._started_at:
+            return 1.0
+        return math.exp(-max(0.0, now - self._last_started_at) / _FORGET_SECONDS)
+
     def _others(self, now: float) -> float:
         """Calls of other senders, from a fresh report; capped, as a report may be wrong."""
         if now - self._reported_at > _REPORT_FRESH_SECONDS:
@@ -296,5 +301,8 @@
             self._probe_at = now + self._backoff
 
     def _restart(self) -> None:
+        # What was seen before says nothing about a leaf that is back.
         self._state = "starting"
         self._ramp = 1
+        self._mean = None
+        self._failure_rate = 0.0
--- a/filbertreach/dispatch/tests/test_leaf_tracker.py
+++ b/filbertreach/dispatch/tests/test_leaf_tracker.py
@@ -87,6 +87,22 @@
     assert room(tracker, now + 6.0) == 2
 
 
+def test_leaf_that_is_back_is_not_held_to_its_past():
+    tracker = warm(make_tracker())
+    finish(tracker, LeafOutcome.TIMEOUT, 2.0, latency=0.5, count=3)
+    assert tracker.expected_seconds(2.0, 0.01) > 0.05
+    tracker.started(8.0)
+    tracker.finished(LeafOutcome.OK, 0.01, 8.01)
+    assert tracker.expected_seconds(8.01, 0.01) == pytest.approx(0.01)
+
+
+def test_failures_are_forgotten_while_idle():
+    tracker = warm(make_tracker())
+    finish(tracker, LeafOutcome.ERROR, 2.0, count=2)
+    assert tracker.expected_seconds(2.0, 0.01) > 0.02
+    assert tracker.expected_seconds(12.0, 0.01) < 0.0125
+
+
 def test_leaving_leaf_gets_no_calls():
     tracker = warm(make_tracker())
     tracker.leaving = True
