Suspect a stuck leaf from calls that hedges overtook

Cause: while hedges win, the calls of a stuck leaf end as cancelled, so the leaf stayed ready for a second and used up the hedge budget. Change: strikes by kind of failure; a call that is overtaken by its hedge counts 3 of 12; probes only double the pause once it has passed. Without the strike the new row of test_failures_in_a_row_make_it_suspect failed. Conclusion: a stuck leaf is suspected after its first 4 calls.

--- a/filbertreach/dispatch/_leaf.py
+++ b/filbertreach/dispatch/_leaf.py
@@ -14,14 +14,19 @@
 """Weight of a new sample in the mean latency and in the failure rate."""
 _RISE_FACTOR = 3.0
 """One sample counts as at most this many means, so that a lone straggler does not damn a leaf."""
-_SUSPECT_FAILURES = 3
-"""Failures in a row after which a leaf gets only probes."""
-_SUSPECT_WEAK_FAILURES = 12
-"""The same for refusals and for timeouts of calls that had little time left.
+_SUSPECT_STRIKES = 12
+"""Strikes without an answer in between after which a leaf gets only probes."""
+_FAILURE_STRIKES = 4
+_OVERTAKEN_STRIKES = 3
+"""For a call that was overtaken by its hedge: a stuck leaf has only these while hedges win."""
+_WEAK_STRIKES = 1
+"""For refusals and for timeouts of calls that had little time left.
 
 Both happen to a healthy leaf in an overload. When they counted in full, leaves were suspected in a
 flood and the goodput fell to 2% of capacity.
 """
+_OVERTAKEN_FACTOR = 1.5
+"""A call that is cancelled after this many mean latencies of answers was overtaken."""
 _FULL_TIMEOUT_FACTOR = 3.0
 """A timeout after this many mean latencies is a failure of the leaf."""
 _FIRST_BACKOFF_SECONDS = 0.25
@@ -79,8 +84,10 @@
         self._ramp = 1
         self._started_at: list[float] = []
         self._mean: float | None = None
+        self._answered_mean = math.inf
+        """Like the mean, but without calls that were cut off; infinite before the first answer."""
         self._failure_rate = 0.0
-        self._failures_in_row = 0
+        self._strikes = 0
         self._backoff = 0.0
         self._probe_at = -math.inf
         self._last_started_at = -math.inf
@@ -149,21 +156,26 @@
         if outcome is LeafOutcome.OK:
             self._succeeded()
             self._learn_latency(latency_seconds, now)
+            if self._answered_mean == math.inf:
+                self._answered_mean = latency_seconds
+            self._answered_mean += _SMOOTHING * (latency_seconds - self._answered_mean)
             self.limit.succeeded(latency_seconds, in_flight, now)
         elif outcome is LeafOutcome.REFUSED:
             self._learn_failure(1.0)
             self.limit.refused(now)
-            self._failed(now, in_row=_SUSPECT_WEAK_FAILURES)
+            self._failed(now, _WEAK_STRIKES)
         elif outcome is LeafOutcome.TIMEOUT and self._is_short(latency_seconds):
             self._learn_at_least(latency_seconds, now)
-            self._failed(now, in_row=_SUSPECT_WEAK_FAILURES)
+            self._failed(now, _WEAK_STRIKES)
         elif outcome is LeafOutcome.CANCELLED:
+            if latency_seconds > _OVERTAKEN_FACTOR * self._answered_mean:
+                self._failed(now, _OVERTAKEN_STRIKES)
             self._learn_at_least(latency_seconds, now)
         else:
             if outcome is LeafOutcome.TIMEOUT:
                 self._learn_at_least(latency_seconds, now)
             self._learn_failure(1.0)
-            self._failed(now, in_row=_SUSPECT_FAILURES)
+            self._failed(now, _FAILURE_STRIKES)
 
     def reported(self, in_flight: int, queued: int, now: float) -> None:
         """Records a load report, which is a hint only.
@@ -280,7 +292,7 @@
 
     def _succeeded(self) -> None:
         self._learn_failure(0.0)
-        self._failures_in_row = 0
+        self._strikes = 0
         self._backoff = 0.0
         if self._state == "suspect":
             self._restart()
@@ -289,16 +301,18 @@
             if self._ramp > self.limit.limit:
                 self._state = "ready"
 
-    def _failed(self, now: float, in_row: int) -> None:
-        self._failures_in_row += 1
-        if self._state == "draining":
+    def _failed(self, now: float, strikes: int) -> None:
+        self._strikes += strikes
+        if self._state == "draining" or self._strikes < _SUSPECT_STRIKES:
             return
-        if self._state == "suspect" or self._failures_in_row >= in_row:
-            self._state = "suspect"
-            self._backoff = min(
-                max(2.0 * self._backoff, _FIRST_BACKOFF_SECONDS), _LONGEST_BACKOFF_SECONDS
-            )
-            self._probe_at = now + self._backoff
+        if self._state == "suspect" and now < self._probe_at:
+            # A call from before the suspicion, not a probe.
+            return
+        self._state = "suspect"
+        self._backoff = min(
+            max(2.0 * self._backoff, _FIRST_BACKOFF_SECONDS), _LONGEST_BACKOFF_SECONDS
+        )
+        self._probe_at = now + self._backoff
 
     def _restart(self) -> None:
         # What was seen before says nothing about a leaf that is back.
--- a/filbertreach/dispatch/tests/test_leaf_tracker.py
+++ b/filbertreach/dispatch/tests/test_leaf_tracker.py
@@ -53,6 +53,8 @@
         (LeafOutcome.ERROR, 0.001, 3),
         (LeafOutcome.CONNECTION_LOST, 0.001, 3),
         (LeafOutcome.TIMEOUT, 0.5, 3),
+        # Overtaken by its hedge: all that a stuck leaf shows while hedges win.
+        (LeafOutcome.CANCELLED, 0.03, 4),
         # Both happen to a healthy leaf in an overload.
         (LeafOutcome.TIMEOUT, 0.012, 12),
         (LeafOutcome.REFUSED, 0.001, 12),
