Run the demonstration with agents; stop daemons of a kind together

Cause: make demo used a fixed view; stopping took 1 s for each daemon in turn. Change: the demonstration starts two hosts through the platform's stand-ins and ctl; entry, dispatch and agent processes are each stopped at once.

--- a/filbertreach_standins/fleet.py
+++ b/filbertreach_standins/fleet.py
@@ -230,12 +230,17 @@
         assert self._process is not None
         return self._process.wait(_STOP_SECONDS)
 
+    def ask_to_stop(self) -> None:
+        """Sends SIGTERM, also to a paused process; does nothing if it is not running."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(signal.SIGCONT)
+            self._process.terminate()
+
     def stop(self) -> int:
         """Stops the process gracefully and returns its exit code."""
         if self._process is None or self._process.poll() is not None:
             return 0 if self._process is None else self._process.returncode
-        self._process.send_signal(signal.SIGCONT)
-        self._process.terminate()
+        self.ask_to_stop()
         try:
             return self.wait_stopped()
         except subprocess.TimeoutExpired:
@@ -322,6 +327,7 @@
                 self._stack.enter_context(tempfile.TemporaryDirectory(prefix="filbertreach-"))
             )
         self._start_leaves()
+        self._stack.callback(self._stop_daemons)
         self.document = self.make_document()
         document_file = self.folder / "document.ini"
         document_file.write_text(self.document, encoding="utf-8")
@@ -330,6 +336,14 @@
         else:
             self._start_fixed(document_file)
 
+    def _stop_daemons(self) -> None:
+        """Stops entry processes, then dispatch processes, then agents; each kind at once."""
+        for daemons in (self.entries, self.dispatchers, self.agents):
+            for daemon in daemons:
+                daemon.ask_to_stop()
+            for daemon in daemons:
+                daemon.stop()
+
     def _start_fixed(self, document_file: pathlib.Path) -> None:
         self.dispatchers = [
             self._daemon("dispatch", f"dispatch-{number}")
@@ -344,7 +358,6 @@
                 "documents": str(document_file),
                 "members": "\n    ".join(["", *members]),
             }
-            self._stack.callback(daemon.stop)
             daemon.start()
         for daemon in [*self.dispatchers, *self.entries]:
             daemon.wait_ready()
@@ -406,7 +419,6 @@
             daemon.settings["platform"] = self._platform_settings()
             if daemon is not agent:
                 daemon.settings["view"] = {"agent": agent.inbox}
-            self._stack.callback(daemon.stop)
             daemon.start()
 
     def _platform_settings(self) -> dict[str, str]:
@@ -433,7 +445,7 @@
         Raises:
             FleetError: The command failed although `check` is set.
         """
-        settings = self._ctl_settings(operator)
+        settings = self.ctl_settings(operator)
         done = subprocess.run(
             [sys.executable, "-m", "filbertreach.ctl", *arguments, "--settings", str(settings)],
             capture_output=True,
@@ -446,7 +458,15 @@
             raise FleetError(f"ctl {arguments}: {done.returncode}\n{done.stdout}{done.stderr}")
         return done
 
-    def _ctl_settings(self, operator: str) -> pathlib.Path:
+    def ctl_settings(self, operator: str = "ana") -> pathlib.Path:
+        """Writes settings of filbertreach-ctl for an operator.
+
+        Args:
+            operator: ana or rui.
+
+        Returns:
+            The settings file.
+        """
         folder = self.folder / "ctl"
         folder.mkdir(exist_ok=True)
         keys = folder / "operators"
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -11,6 +11,7 @@
 
 from filbertreach_standins.fleet import Fleet, FleetOptions
 
+_HOSTS = 2
 _QUERIES = 3
 _ROWS_SHOWN = 5
 
@@ -25,7 +26,7 @@
     parser.add_argument("--once", action="store_true", help="stop after the queries")
     arguments = parser.parse_args()
     print("starting stand-ins and daemons on loopback ...", flush=True)
-    with Fleet(options=FleetOptions(entries=2)) as fleet:
+    with Fleet(options=FleetOptions(hosts=_HOSTS)) as fleet:
         results = [_show(fleet, number) for number in range(_QUERIES)]
         correct = all(results)
         print("every answer was whole and right" if correct else "an answer was wrong")
@@ -66,7 +67,9 @@
         f"  curl -s -H 'content-type: application/json' -d '{body}' "
         f"http://{fleet.entries[0].http}/v1/query"
     )
-    print(f"  curl -s http://{fleet.dispatchers[0].http}/metrics", flush=True)
+    print(f"  curl -s http://{fleet.dispatchers[0].http}/metrics")
+    settings = fleet.ctl_settings()
+    print(f"  .venv/bin/filbertreach-ctl status --settings {settings}", flush=True)
     stopped = threading.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         signal.signal(number, lambda *_: stopped.set())
