Keep handling stop signals while a daemon drains

Cause: the signal receiver was closed after the first SIGTERM, so a second one met the default handler and killed the process with requests in progress. Change: the receiver stays open until the drain has ended.

--- a/filbertreach/observability/_daemon.py
+++ b/filbertreach/observability/_daemon.py
@@ -51,18 +51,19 @@
     server = HttpServer(
         address=process["http"], application=options.application, drain_seconds=drain_seconds
     )
-    async with anyio.create_task_group() as group:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    # The receiver stays open while draining: a second signal must not cut requests in progress.
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with anyio.create_task_group() as group:
             await group.start(_serve, server)
             _LOGGER.info("started", http=process["http"], inbox=process["inbox"])
             async for number in signals:
                 _LOGGER.info("stopping", signal=signal.Signals(number).name)
                 break
-        options.health.set("process", "the process is stopping")
-        options.on_stopping()
-        await anyio.sleep(min(_READINESS_SECONDS, drain_seconds))
-        server.stop()
-        await options.drain(drain_seconds)
+            options.health.set("process", "the process is stopping")
+            options.on_stopping()
+            await anyio.sleep(min(_READINESS_SECONDS, drain_seconds))
+            server.stop()
+            await options.drain(drain_seconds)
     _LOGGER.info("stopped")
 
 
