Refuse answers that contain a row twice

Cause: docs/platform-contract.md says that row ids are checked for duplicates, but nothing checked them; a leaf that sent every row twice had all of them passed on to callers. Change: an answer with a repeated row id is an invalid response and another replica is tried.

--- a/filbertreach/dispatch/_exchange.py
+++ b/filbertreach/dispatch/_exchange.py
@@ -226,4 +226,8 @@
     if answer["row_count"] != len(answer["rows"]):
         text = f"{leaf.id} sent {len(answer['rows'])} of {answer['row_count']} rows"
         raise InvalidResponseError(message=text, started=True)
+    ids = [row["id"] for row in answer["rows"] if isinstance(row.get("id"), str | int)]
+    if len(set(ids)) != len(ids):
+        text = f"{leaf.id} sent {len(ids) - len(set(ids))} row ids more than once"
+        raise InvalidResponseError(message=text, started=True)
     return answer
