Bound the claim of a request id by the request's deadline

Cause: with a key-value service that never answers, a non-idempotent request with a deadline of 4 s was answered after 6.2 s (test_a_claim_that_is_not_confirmed_runs_nothing, outage hang). Change: the claim ends at the deadline; the request is refused as not run, nothing was sent.

--- a/filbertreach/entry/_daemon.py
+++ b/filbertreach/entry/_daemon.py
@@ -281,7 +281,7 @@
         ended: Outcome = "failed"
         claim_key: str | None = None
         try:
-            claim_key = await self._claim(gather.query)
+            claim_key = await self._claim_in_time(gather)
             self._scatter(gather)
             await gather.wait(self.clock.now)
             outcome.result = result = gather.finish()
@@ -294,6 +294,18 @@
             now = self.clock.now()
             self._admission.on_finished(admitted, now - started_at, ended, now)
 
+    async def _claim_in_time(self, gather: Gather) -> str | None:
+        """Claims the request id, but not beyond the deadline of the request."""
+        with anyio.move_on_after(max(0.0, gather.deadline_at - self.clock.now())):
+            return await self._claim(gather.query)
+        # A late claim may still take effect, so that a repetition is refused; nothing was sent.
+        raise ProblemError(
+            "refused-not-run",
+            "the platform did not confirm in time that the request id is new; repeat the request "
+            "with a new request id",
+            retry_after_seconds=1.0,
+        )
+
     async def _claim(self, query: Query) -> str | None:
         """Claims the request id of a request that must run at most once."""
         if query.idempotent or query.application.repeat_protection == "none":
--- a/tests/test_leaf_guarantees.py
+++ b/tests/test_leaf_guarantees.py
@@ -188,6 +188,7 @@
     [
         ({"outage": True}, "refused-not-run", 0),
         ({"outage": "hang"}, "refused-not-run", 0),
+        ({"delay_ms": 5000}, "refused-not-run", 0),
         ({"outage": "reset"}, "refused-not-run", 0),
         ({"lose_requests": True}, "refused-not-run", 0),
         ({"lose_answers": {"next": 1}}, "", 1),
@@ -208,13 +209,15 @@
             record=record,
             request_id=request_id,
             idempotent=False,
-            deadline_ms=4000,
+            deadline_ms=2000,
             query={"write": request_id},
         )
     finally:
         store.set_faults(**dict.fromkeys(faults))
     assert request.problem == problem, request
     assert _executions(fleet, shard_for_store, request.request_id) == executions
+    # Attempts to claim went on for 6 s when the deadline did not bound them.
+    assert request.body["took_ms"] < 4000
     _check(fleet, record)
 
 
