Use the measured queue, spacing and hedge rules in the dispatch process

Cause: the decision modules gained spacing of less urgent calls, service-time accounting and queued hedges; the daemon did not use them. Change: the service owner drops calls that can't meet their deadline while it is overloaded, holds slots for urgent ranks, queues hedges that find no room, feeds timeouts into its latency, and keeps non-idempotent calls off suspect leaves. Calls in a queue no longer than the slots are sent whatever the latency was, so that a service is tried again after it was slow.

--- a/filbertreach/dispatch/_leaf_link.py
+++ b/filbertreach/dispatch/_leaf_link.py
@@ -177,7 +177,7 @@
         hold = math.inf if source in ("host_list", "document") else now + _DRAINING_HOLD_SECONDS
         if leaving:
             self._leaving_until_by_source[source] = hold
-            self.tracker.reported_state("draining", now)
+            self.tracker.leaving = True
             return
         if source in ("host_list", "document"):
             self._leaving_until_by_source.pop(source, None)
@@ -187,8 +187,7 @@
         for source, until in list(self._leaving_until_by_source.items()):
             if until <= now:
                 del self._leaving_until_by_source[source]
-        if not self._leaving_until_by_source and self.tracker.state == "draining":
-            self.tracker.reported_state("ready", now)
+        self.tracker.leaving = bool(self._leaving_until_by_source)
 
     def assign(self, attempt: Attempt) -> None:
         """Hands an attempt to an idle connection, or to a new one.
--- a/filbertreach/dispatch/_pending.py
+++ b/filbertreach/dispatch/_pending.py
@@ -82,3 +82,8 @@
     def key(self) -> str:
         """Key that is unique among the calls of all entry processes."""
         return f"{self.reply_to}/{self.incarnation}/{self.call['call_id']}"
+
+    @property
+    def hedge_key(self) -> str:
+        """Key of a queued hedge of this call."""
+        return f"{self.key}#hedge"
--- a/filbertreach/dispatch/_service.py
+++ b/filbertreach/dispatch/_service.py
@@ -1,6 +1,7 @@
 """The owner of one service: its queue, the choice of leaves, hedges and retries."""
 
 import itertools
+import math
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -20,6 +21,7 @@
 )
 from filbertreach.dispatch._exchange import SearchBody, search
 from filbertreach.dispatch._hedging import HedgeBudget, HedgeDelay, may_hedge
+from filbertreach.dispatch._latency import LatencyTracker
 from filbertreach.dispatch._leaf import LeafOutcome, LeafTracker
 from filbertreach.dispatch._leaf_link import LeafLink
 from filbertreach.dispatch._metrics import (
@@ -108,11 +110,13 @@
         self._chooser = make_replica_policy(name=settings.dispatch["replica_policy"])
         self._budget = HedgeBudget(share=policy.hedge_budget)
         self._delay = HedgeDelay(quantile=policy.hedge_quantile)
+        self._latency = LatencyTracker()
+        """Time of answered and timed-out calls at the leaves."""
         self._link_by_leaf: dict[str, LeafLink] = {}
         self._pending_by_key: dict[str, PendingCall] = {}
         self._retries: list[PendingCall] = []
         self._attempt_ids = itertools.count(1)
-        self._poll_due = False
+        self._poll_due = math.inf
         self._group: anyio.abc.TaskGroup | None = None
 
     # Life.
@@ -218,22 +222,23 @@
         """
         self.last_used = self._clock.now()
         self._pending_by_key[pending.key] = pending
-        client = self.environment.clients_by_name.get(pending.call["client"])
-        refused = self._queue.push(
-            QueuedCall(
-                call_id=pending.key,
-                rank=pending.call["rank"],
-                client=pending.call["client"],
-                client_share=client.share if client and client.share > 0 else 1.0,
-                enqueued_at=self._clock.now(),
-                deadline_at=pending.deadline_at,
-                payload=pending,
-            )
-        )
-        if refused is not None:
+        refused = self._queue.push(self._queued(pending, pending.key))
+        if refused is not None and not refused.payload.attempts:
             self._fail(refused.payload, "overloaded")
         self._pump()
 
+    def _queued(self, pending: PendingCall, key: str) -> QueuedCall:
+        client = self.environment.clients_by_name.get(pending.call["client"])
+        return QueuedCall(
+            call_id=key,
+            rank=pending.call["rank"],
+            client=pending.call["client"],
+            client_share=client.share if client and client.share > 0 else 1.0,
+            enqueued_at=self._clock.now(),
+            deadline_at=pending.deadline_at,
+            payload=pending,
+        )
+
     def cancel(self, key: str) -> None:
         """Cancels a call that nobody waits for.
 
@@ -242,7 +247,6 @@
         """
         pending = self._pending_by_key.get(key)
         if pending is not None:
-            self._queue.remove(key)
             self._fail(pending, "cancelled")
 
     def cancel_all_of(self, reply_to: str) -> None:
@@ -286,24 +290,55 @@
     # Sending.
 
     def _pump(self) -> None:
-        """Sends waiting calls while a leaf has room; calls for a second leaf go first."""
+        """Sends waiting calls while a leaf has room; refused calls go first."""
         now = self._clock.now()
-        for queued in self._queue.expire(now, 0.0):
-            self._fail(queued.payload, "deadline")
+        self._expire(now)
         self._send_retries(now)
         while len(self._queue):
             if self._choose(self._link_by_leaf.values(), now) is None:
                 break
-            queued_call = self._queue.pop(now)
-            if queued_call is None:
+            hold = self._hold_seconds(now)
+            if hold > 0:
+                self._poll_at(now + hold)
+                break
+            queued = self._queue.pop(now)
+            if queued is None:
                 break
-            self._send_first(queued_call.payload, now)
-        if (len(self._queue) or self._retries) and not self._poll_due:
-            self._poll_due = True
-            self._timers.at(now + _POLL_SECONDS, self._poll)
+            if queued.payload.attempts:
+                self._send_extra(queued.payload, "hedge", now)
+            else:
+                self._send_first(queued.payload, now)
+        if len(self._queue) or self._retries:
+            self._poll_at(now + _POLL_SECONDS)
+
+    def _expire(self, now: float) -> None:
+        """Drops calls that can't meet their deadline; they would only use up a leaf.
+
+        A short queue keeps them until the deadline itself: if every call were dropped, nothing
+        would show that the leaves have become faster again.
+        """
+        overloaded = len(self._queue) > self._slots()
+        least = (self._latency.quantile(0.9) or 0.0) if overloaded else 0.0
+        for queued in self._queue.expire(now, least):
+            if not queued.payload.attempts:
+                self._fail(queued.payload, "deadline")
+
+    def _hold_seconds(self, now: float) -> float:
+        return self._queue.hold_seconds(
+            now, slots=self._slots(), latency_seconds=self._latency.quantile(0.5) or 0.0
+        )
+
+    def _slots(self) -> int:
+        return sum(link.tracker.limit.limit for link in self._link_by_leaf.values())
+
+    def _poll_at(self, due: float) -> None:
+        if due < self._poll_due:
+            self._poll_due = due
+            self._timers.at(due, self._poll)
 
     def _poll(self) -> None:
-        self._poll_due = False
+        if self._clock.now() >= self._poll_due:
+            self._poll_due = math.inf
         self._pump()
 
     def _send_retries(self, now: float) -> None:
@@ -323,19 +358,20 @@
 
     def _choose(self, links: Iterable[LeafLink], now: float) -> LeafLink | None:
         trackers = [link.tracker for link in links if link.has_connection]
-        tracker = self._chooser.choose(trackers, now)
+        tracker = self._chooser.choose(trackers, now, waiting=max(1, len(self._queue)))
         return None if tracker is None else self._link_by_leaf[tracker.leaf.id]
 
     def _choose_for(self, pending: PendingCall, now: float) -> LeafLink | None:
         version = pending.call["version"]
-        return self._choose(
-            [
-                link
-                for leaf_id, link in self._link_by_leaf.items()
-                if leaf_id not in pending.tried and link.may_serve(version, now)
-            ],
-            now,
-        )
+        links = [
+            link
+            for leaf_id, link in self._link_by_leaf.items()
+            if leaf_id not in pending.tried and link.may_serve(version, now)
+        ]
+        if not pending.call["idempotent"]:
+            # The call of a probe may be lost, and this one can't be sent again.
+            links = [link for link in links if link.tracker.state != "suspect"] or links
+        return self._choose(links, now)
 
     def _send_first(self, pending: PendingCall, now: float) -> None:
         rank = pending.call["rank"]
@@ -376,26 +412,42 @@
         link.assign(attempt)
 
     def _plan_hedge(self, pending: PendingCall, now: float) -> None:
-        delay = self._delay.seconds(pending.attempts)
+        attempts = pending.attempts
+        delay = self._delay.seconds(attempts)
         if delay is not None and pending.call["idempotent"] and self._dispatch["hedge"]:
-            self._timers.at(now + delay, lambda: self._hedge(pending))
+            self._timers.at(now + delay, lambda: self._hedge(pending, attempts))
 
-    def _hedge(self, pending: PendingCall) -> None:
-        if pending.done or not pending.attempt_by_id:
+    def _hedge(self, pending: PendingCall, attempts: int) -> None:
+        if pending.done or pending.attempts != attempts or not pending.attempt_by_id:
             return
         now = self._clock.now()
         allowed = may_hedge(
             idempotent=pending.call["idempotent"],
-            attempts=pending.attempts,
+            attempts=attempts,
             max_attempts=self.environment.policy.max_attempts,
             remaining_seconds=pending.deadline_at - now,
-            least=0.0,
+            least=self._latency.quantile(0.5) or 0.0,
         )
-        if not allowed or not self._delay.overdue():
+        if not allowed or (attempts == 1 and not self._delay.overdue()):
             return
+        if not self._send_extra(pending, "hedge", now) and self._budget.has_token:
+            self._queue_hedge(pending)
+
+    def _send_extra(self, pending: PendingCall, kind: AttemptKind, now: float) -> bool:
+        """Sends a call to one more leaf if one has room and the budget allows it."""
+        if pending.done or not pending.attempt_by_id:
+            return False
         link = self._choose_for(pending, now)
-        if link is not None and self._budget.try_take():
-            self._send(pending, link, "hedge", now)
+        if link is None or not self._budget.try_take():
+            return False
+        self._send(pending, link, kind, now)
+        return True
+
+    def _queue_hedge(self, pending: PendingCall) -> None:
+        """Queues a hedge that found no leaf with room; it waits its turn like other calls."""
+        refused = self._queue.push(self._queued(pending, pending.hedge_key))
+        if refused is not None and not refused.payload.attempts:
+            self._fail(refused.payload, "overloaded")
 
     # One attempt, run by the task of its connection.
 
@@ -452,6 +504,10 @@
         attempt.tracker.finished(outcome, seconds, now)
         attempt.pending.attempt_by_id.pop(attempt.call_id, None)
         LEAF_OUTCOMES.labels(self.environment.name, outcome.value).inc()
+        if outcome in (LeafOutcome.OK, LeafOutcome.TIMEOUT):
+            # Without the timeouts the quantiles would only know the calls that were fast enough.
+            self._latency.record(seconds, now)
+            self._queue.record_service(attempt.pending.call["rank"], seconds)
         return seconds
 
     def _answered(self, attempt: Attempt, body: SearchBody) -> None:
@@ -554,6 +610,8 @@
     def _finish(self, pending: PendingCall, result: Answer | Failure) -> None:
         pending.done = True
         self._pending_by_key.pop(pending.key, None)
+        self._queue.remove(pending.key)
+        self._queue.remove(pending.hedge_key)
         for attempt in list(pending.attempt_by_id.values()):
             self._cancel_attempt(attempt)
         outcome = "answer" if result["kind"] == "answer" else result["reason"]
