Never call a moved query not run

Cause: a call whose dispatch process was lost may have run at a leaf, but when it was sent to another process and refused there, or when there was no other process, the query was refused as not run. Found by tests/test_owner_guarantees.py: 'refused as not run and ran on fleet-0-b'. Change: a call that is moved counts as possibly run. Conclusion: guarantee 4 holds when an owner is lost.

--- a/filbertreach/entry/_daemon.py
+++ b/filbertreach/entry/_daemon.py
@@ -429,7 +429,7 @@
             self._gather_by_call.pop(call.call_id, None)
             # A call is moved once, so that entry processes never multiply the retries of owners.
             if gather.query.idempotent and not call.resent:
-                gather.outstanding_by_id.pop(call.call_id)
+                gather.on_moved(call)
                 OWNER_RESENDS.labels(gather.query.environment.name).inc()
                 self._send_call(gather, call.shard, call.service, exclude=peer.address)
             else:
--- a/filbertreach/entry/_gather.py
+++ b/filbertreach/entry/_gather.py
@@ -149,6 +149,17 @@
             self._may_have_run = True
             self._lack(call.shard, "owner_lost", now)
 
+    def on_moved(self, call: OutstandingCall) -> None:
+        """Forgets a call that is sent again because its dispatch process was lost.
+
+        The lost process may have sent it to a leaf, so the query can no longer be called not run.
+
+        Args:
+            call: The call.
+        """
+        if self.outstanding_by_id.pop(call.call_id, None) is not None:
+            self._may_have_run = True
+
     def not_sent(self, shard: str, now: float) -> None:
         """Records a shard for which no dispatch process was found; nothing was sent.
 
