--- /dev/null
+++ b/experiments/stragglers.py
@@ -0,0 +1,118 @@
+"""Stragglers on real processes: hedges against none, and the wait policies."""
+
+from typing import Any
+
+from experiments._figures import LeafCalls, ratio, set_leaf_faults, summary
+from experiments._registry import experiment
+from experiments.load import Stream, run_load
+from filbertreach_standins.fleet import Fleet, FleetOptions
+
+_SERVICE_MS = 20.0
+_WARM_UP_SECONDS = 4.0
+_SLOW_FACTOR = 10.0
+_CALLS_PER_SECOND = 800.0
+"""Leaf calls of the load; about a third of a core of each dispatch process."""
+_NOTE = "leaves take 20 ms, so that the Python daemons are not the bottleneck"
+
+
+def _options(fan_out: int, *, hedge: bool, wait: str) -> FleetOptions:
+    # 2 leaves, 2 slots, 25 connections and 6 ms is the shape of the counter services of both
+    # deployments.
+    return FleetOptions(
+        services=fan_out,
+        leaves_per_service=2,
+        slots=2,
+        connections=25,
+        connect_cost_ms=6,
+        service_ms=_SERVICE_MS,
+        leaf_processes=4,
+        dispatchers=4,
+        entries=1,
+        wait=wait,
+        settings={
+            "observability": {"trace_share": "0"},
+            "dispatch": {"hedge": "true" if hedge else "false"},
+        },
+    )
+
+
+def _load(fleet: Fleet, seconds: float, seed: int, per_second: float) -> dict[str, Any]:
+    addresses = [entry.http for entry in fleet.entries]
+    stream = Stream("booking", per_second, deadline_ms=3000)
+    calls = LeafCalls(fleet)
+    records = run_load(addresses, [stream], seconds, seed)
+    return {**summary(records, seconds), "leaf_calls": calls.figures()}
+
+
+@experiment("stragglers", "Do hedges cut the p99 of a large fan-out, and what do they cost?")
+def stragglers(seed: int, short: bool) -> dict[str, Any]:
+    """1% of calls take 10 times as long; then every leaf takes 10 times as long.
+
+    Args:
+        seed: Seed of the arrivals.
+        short: Whether to use a fan-out of 25 and less time.
+
+    Returns:
+        Figures with and without hedges, their ratios, and the verdicts on the targets.
+    """
+    fan_out, seconds, slow_seconds = (25, 6.0, 4.0) if short else (100, 30.0, 20.0)
+    # With leaves that take 200 ms, 4 queries/s use a fifth of the slots of each service.
+    slow_rate = min(rate, 4.0)
+    warm_up = _WARM_UP_SECONDS / 2 if short else _WARM_UP_SECONDS
+    rate = _CALLS_PER_SECOND / fan_out
+    result: dict[str, Any] = {
+        "scale": f"{fan_out} services of 2 leaves with 2 slots, 4 dispatch processes, 1 entry "
+        f"process, {rate:.0f} queries/s for {seconds:.0f} s, wait = complete; {_NOTE}",
+    }
+    for name, hedge in (("hedged", True), ("no_hedge", False)):
+        with Fleet(options=_options(fan_out, hedge=hedge, wait="complete")) as fleet:
+            result[f"{name}_calm"] = _load(fleet, warm_up, seed, rate)
+            set_leaf_faults(fleet, straggler_share=0.01, straggler_factor=10.0)
+            _load(fleet, warm_up, seed + 2, rate)
+            result[name] = _load(fleet, seconds, seed + 3, rate)
+            if hedge:
+                set_leaf_faults(fleet, straggler_share=None, slow_factor=_SLOW_FACTOR)
+                result["whole_fleet_slow"] = _load(fleet, slow_seconds, seed + 4, slow_rate)
+    result["p99_ratio"] = ratio(result["hedged"]["p99_ms"], result["no_hedge"]["p99_ms"])
+    result["p50_ratio"] = ratio(result["hedged"]["p50_ms"], result["no_hedge"]["p50_ms"])
+    extra = result["hedged"]["leaf_calls"]["extra_share"]
+    slow_extra = result["whole_fleet_slow"]["leaf_calls"]["extra_share"]
+    result["extra_share"], result["extra_share_slow_fleet"] = extra, slow_extra
+    result["targets"] = {
+        "p99 at most 1/3 of no hedge": result["p99_ratio"] <= 1 / 3,
+        "extra calls at most 5%": extra <= 0.05,
+        "extra calls under 2% with the whole fleet slow": slow_extra < 0.02,
+    }
+    return result
+
+
+@experiment("degrading", "What do the wait policies give under stragglers?")
+def degrading(seed: int, short: bool) -> dict[str, Any]:
+    """Coverage and p99 of deadline-first and complete-first, with and without hedges.
+
+    Args:
+        seed: Seed of the arrivals.
+        short: Whether to use less time.
+
+    Returns:
+        Figures of the four combinations, and ratios to complete-first.
+    """
+    fan_out, seconds = (25, 5.0) if short else (50, 12.0)
+    rate = _CALLS_PER_SECOND / fan_out
+    result: dict[str, Any] = {
+        "scale": f"{fan_out} services of 2 leaves with 2 slots, 1% stragglers at 10 times, "
+        f"{rate:.0f} queries/s for {seconds:.0f} s; target 90 ms; {_NOTE}",
+    }
+    for hedge in (False,) if short else (False, True):
+        suffix = "hedged" if hedge else "no_hedge"
+        for wait in ("deadline", "complete"):
+            with Fleet(options=_options(fan_out, hedge=hedge, wait=wait)) as fleet:
+                set_leaf_faults(fleet, straggler_share=0.01, straggler_factor=10.0)
+                _load(fleet, _WARM_UP_SECONDS, seed, rate)
+                result[f"{wait}_{suffix}"] = _load(fleet, seconds, seed + 1, rate)
+        deadline, complete = result[f"deadline_{suffix}"], result[f"complete_{suffix}"]
+        result[f"p99_ratio_{suffix}"] = ratio(deadline["p99_ms"], complete["p99_ms"])
+        result[f"coverage_ratio_{suffix}"] = ratio(
+            deadline["mean_coverage"], complete["mean_coverage"]
+        )
+    return result
