Add experiments on real processes and their runner

Cause: the targets of design 1.6 were measured only under a fake clock. Change: floods, connections, recovery, configuration, idle; python -m experiments.

--- /dev/null
+++ b/experiments/__main__.py
@@ -0,0 +1,119 @@
+"""Runs the registered experiments one after the other and writes their figures."""
+
+import argparse
+import importlib
+import json
+import os
+import pathlib
+import platform
+import subprocess
+import sys
+import time
+import traceback
+from typing import Any
+
+from experiments._registry import EXPERIMENTS_BY_NAME
+from experiments._report import table, write_plots
+
+_ROOT = pathlib.Path(__file__).parent.parent
+_BUILD = _ROOT / "build"
+_MODULES = (
+    "division",
+    "stragglers",
+    "flood",
+    "connections",
+    "recovery",
+    "configuration",
+    "idle",
+    "simulated",
+)
+_NOT_IN_SHORT_RUNS = (
+    "degrading",
+    "flood_highest",
+    "flood_client",
+    "idle",
+)
+"""Their fleets would take a short run beyond 3 minutes; `--only` runs them."""
+
+
+def _revision() -> str:
+    command = ["git", "describe", "--always", "--dirty"]
+    done = subprocess.run(command, cwd=_ROOT, capture_output=True, text=True, check=False)
+    return done.stdout.strip() or "unknown"
+
+
+def _machine() -> dict[str, Any]:
+    return {
+        "cores": os.cpu_count(),
+        "load_average": [round(load, 2) for load in os.getloadavg()],
+        "python": platform.python_version(),
+        "revision": _revision(),
+    }
+
+
+def _run(name: str, seed: int, short: bool) -> dict[str, Any]:
+    """Runs one experiment; an error becomes part of the results.
+
+    Returns:
+        Question, duration, load of the machine before and after, and figures or error.
+    """
+    item = EXPERIMENTS_BY_NAME[name]
+    load_before = os.getloadavg()[0]
+    started = time.monotonic()
+    result: dict[str, Any] = {"question": item.question}
+    try:
+        result["figures"] = item.run(seed, short)
+    except Exception:
+        result["error"] = traceback.format_exc()
+    result["seconds"] = round(time.monotonic() - started, 1)
+    load_after = os.getloadavg()[0]
+    result["load_average"] = [round(load_before, 2), round(load_after, 2)]
+    # A fleet needs about half of the cores; more processes beside it distort latencies.
+    result["busy_machine"] = load_before > 0.5 * (os.cpu_count() or 1)
+    return result
+
+
+def _names(arguments: argparse.Namespace) -> list[str]:
+    if arguments.only:
+        return list(arguments.only)
+    skipped = _NOT_IN_SHORT_RUNS if arguments.short else ()
+    return [name for name in EXPERIMENTS_BY_NAME if name not in skipped]
+
+
+def main() -> int:
+    """Runs the chosen experiments.
+
+    Returns:
+        1 if an experiment ended with an error, else 0. A missed target is not an error.
+    """
+    for module in _MODULES:
+        importlib.import_module(f"experiments.{module}")
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--short", action="store_true", help="under 3 minutes, smaller fleets")
+    parser.add_argument("--only", choices=sorted(EXPERIMENTS_BY_NAME), action="append")
+    arguments = parser.parse_args()
+    print(f"seed {arguments.seed}", flush=True)
+    report: dict[str, Any] = {
+        "seed": arguments.seed,
+        "scale": "short" if arguments.short else "full",
+        "command": " ".join(["python -m experiments", *sys.argv[1:]]),
+        "machine": _machine(),
+        "experiments": {},
+    }
+    _BUILD.mkdir(exist_ok=True)
+    for name in _names(arguments):
+        print(f"{name} ...", end=" ", flush=True)
+        result = report["experiments"][name] = _run(name, arguments.seed, arguments.short)
+        print("error" if "error" in result else f"{result['seconds']} s", flush=True)
+        # Written after each experiment, so that an interrupted run leaves its figures.
+        (_BUILD / "experiment.json").write_text(json.dumps(report, indent=1), encoding="utf-8")
+    text = table(report)
+    print(text)
+    (_BUILD / "experiment.txt").write_text(text + "\n", encoding="utf-8")
+    write_plots(report, _BUILD)
+    return int(any("error" in result for result in report["experiments"].values()))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/experiments/flood.py
+++ b/experiments/flood.py
@@ -35,9 +35,11 @@
     def __init__(self, short: bool) -> None:
         self.warm = 2.0
         self.calm = 4.0 if short else 10.0
-        self.flood = 5.0 if short else 10.0
+        self.peak = 2.5 if short else 5.0
+        self.flood = 4.0 if short else 10.0
         self.after = 4.0 if short else 7.0
-        self.flood_starts = self.warm + self.calm
+        self.peak_starts = self.warm + self.calm
+        self.flood_starts = self.peak_starts + self.peak
         self.flood_ends = self.flood_starts + self.flood
         self.ends = self.flood_ends + self.after
 
@@ -96,8 +98,7 @@
         window = between(records, start, start + _WINDOW_SECONDS)
         answered = [record.seconds for record in window if record.outcome == "answered"]
         normal = (
-            len(answered) >= 0.99 * len(window)
-            and quantile(answered, 0.5) * 1000 <= 1.25 * p50_ms
+            len(answered) >= 0.99 * len(window) and quantile(answered, 0.5) * 1000 <= 1.25 * p50_ms
         )
         if not normal:
             normal_since = None
@@ -118,7 +119,7 @@
 
 @experiment("flood_lowest", "What does the highest rank keep while the lowest floods?")
 def lowest(seed: int, short: bool) -> dict[str, Any]:
-    """The lowest rank offers 0.9 times capacity, then 10 times, then nothing.
+    """The lowest rank offers 1.2 times capacity, then 10 times, then nothing.
 
     Args:
         seed: Seed of the arrivals.
@@ -130,16 +131,19 @@
     """
     times = _Times(short)
     result: dict[str, Any] = {"scale": _scale(times)}
-    peak_ends = times.flood_starts + times.flood / 2
     for policy in ("ranked", "fifo") if short else _POLICIES:
         streams = [
             _stream("booking", 0.2),
             # Saturation before the flood shows the peak goodput.
-            _stream("invoicing", 1.2, client="ledger", starts=times.flood_starts, ends=peak_ends),
-            _stream("invoicing", 10, client="ledger", starts=peak_ends, ends=times.flood_ends),
+            _stream(
+                "invoicing", 1.2, client="ledger", starts=times.peak_starts, ends=times.flood_starts
+            ),
+            _stream(
+                "invoicing", 10, client="ledger", starts=times.flood_starts, ends=times.flood_ends
+            ),
         ]
         records = _run(policy, streams, times, seed)
-        result[policy] = _lowest_figures(records, times, peak_ends)
+        result[policy] = _lowest_figures(records, times)
     ranked = result["ranked"]
     result["targets"] = {
         "highest rank p99 at most 1.25 times unloaded": _at_most(ranked["p99_ratio"], 1.25),
@@ -152,17 +156,19 @@
     return result
 
 
-def _lowest_figures(records: list[Record], times: _Times, peak_ends: float) -> dict[str, Any]:
-    unloaded = _figures(records, times.warm, times.flood_starts, rank="booking")
-    flooded = _figures(records, peak_ends, times.flood_ends, rank="booking")
+def _lowest_figures(records: list[Record], times: _Times) -> dict[str, Any]:
+    unloaded = _figures(records, times.warm, times.peak_starts, rank="booking")
+    flooded = _figures(records, times.flood_starts, times.flood_ends, rank="booking")
     # The first second of each phase is left out: queues fill in it.
-    at_peak = _all_answered(records, times.flood_starts + 1, peak_ends)
-    in_flood = _all_answered(records, peak_ends + 1, times.flood_ends)
+    at_peak = _all_answered(records, times.peak_starts + 1, times.flood_starts)
+    in_flood = _all_answered(records, times.flood_starts + 1, times.flood_ends)
     steady = between(records, 0, times.ends, rank="booking")
     return {
         "booking_unloaded": unloaded,
         "booking_in_flood": flooded,
-        "invoicing_in_flood": _figures(records, peak_ends, times.flood_ends, rank="invoicing"),
+        "invoicing_in_flood": _figures(
+            records, times.flood_starts, times.flood_ends, rank="invoicing"
+        ),
         "p99_ratio": ratio(flooded["p99_ms"] or math.nan, unloaded["p99_ms"] or math.nan),
         "goodput_ratio": ratio(flooded["goodput"], unloaded["goodput"]),
         "answered_per_s_of_capacity": ratio(in_flood, _CAPACITY),
@@ -231,7 +237,7 @@
     for policy in ("ranked",) if short else ("ranked", "fifo"):
         records = _run(policy, streams, times, seed)
         own = {"rank": "search", "client": "steady"}
-        before = _figures(records, times.warm, times.flood_starts, **own)
+        before = _figures(records, times.warm, times.peak_starts, **own)
         flooded = _figures(records, times.flood_starts + 1, times.flood_ends, **own)
         steady = between(records, 0, times.ends, **own)
         result[policy] = {
--- a/experiments/load.py
+++ b/experiments/load.py
@@ -75,7 +75,8 @@
     seconds: float
     """Time from the planned sending to the end, in seconds."""
     outcome: str
-    """answered, the type of the problem document, lost (no HTTP answer) or not_sent."""
+    """answered, the type of the problem document, unreachable (no connection), lost (no HTTP
+    answer) or not_sent."""
     coverage: float
     """Included share of the shards of an answer; 0 without an answer."""
 
@@ -208,6 +209,9 @@
             with anyio.fail_after(item.stream.deadline_ms / 1000 + _GRACE_SECONDS):
                 status, content = await connection.post(body)
             answer = msgspec.json.decode(content)
+        except httpcore.ConnectError:
+            await connection.close()
+            return "unreachable", 0.0
         except (httpcore.NetworkError, httpcore.ProtocolError, TimeoutError, ValueError):
             with anyio.CancelScope(shield=True):
                 await connection.close()
@@ -235,9 +239,7 @@
     def _record(self, item: _Due, outcome: str, coverage: float) -> None:
         seconds = time.monotonic() - self._load.starts_at - item.at
         stream = item.stream
-        self.records.append(
-            Record(stream.rank, stream.client, item.at, seconds, outcome, coverage)
-        )
+        self.records.append(Record(stream.rank, stream.client, item.at, seconds, outcome, coverage))
 
 
 _labels = itertools.count()
@@ -291,7 +293,8 @@
             if thread:
                 thread.start()
             most = seconds + max(s.deadline_ms for s in streams) / 1000 + 30.0
-            if any([process.wait(most) for process in started]):
+            exit_codes = [process.wait(most) for process in started]
+            if any(exit_codes):
                 raise LoadError("a load generator process failed; see its error output")
             records = list(itertools.chain.from_iterable(_read(path) for path in paths))
         finally:
--- /dev/null
+++ b/experiments/recovery.py
@@ -0,0 +1,120 @@
+"""Time to full service after a process is killed, on real processes with agents."""
+
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from experiments._figures import between, quantile, ratio, summary
+from experiments._registry import experiment
+from experiments.load import Record, Stream, run_load
+from filbertreach_standins.fleet import DaemonProcess, Fleet, FleetOptions
+
+_SERVICE_MS = 10.0
+_RATE = 60.0
+_CALM_SECONDS = 2.0
+_SLOW_FACTOR = 2.0
+"""A latency above so many times the p99 before the failure counts as not yet recovered."""
+
+
+@experiment("recovery", "How long until full service after a process is killed or restarted?")
+def run(seed: int, short: bool) -> dict[str, Any]:
+    """Kills a dispatch process, an entry process and a leaf, then restarts all in turn.
+
+    Args:
+        seed: Seed of the arrivals.
+        short: Whether to kill only a dispatch process.
+
+    Returns:
+        For each case the seconds from the failure to the last query that was not answered, was
+        incomplete or was slow, with the outcomes.
+    """
+    options = FleetOptions(
+        services=8,
+        leaves_per_service=2,
+        slots=2,
+        connections=25,
+        connect_cost_ms=6,
+        service_ms=_SERVICE_MS,
+        leaf_processes=2,
+        hosts=3,
+        wait="complete",
+        settings={"observability": {"trace_share": "0"}},
+    )
+    seconds = 7.0 if short else 12.0
+    result: dict[str, Any] = {
+        "scale": f"3 hosts, 8 services of 2 leaves with 2 slots, {_RATE:.0f} queries/s; leaves "
+        f"take {_SERVICE_MS:.0f} ms, so that the Python daemons are not the bottleneck; the "
+        "killed leaf is a stand-in that resets open and new connections",
+    }
+    with Fleet(options=options) as fleet:
+        leaf = next(iter(fleet.leaves_by_id.values()))
+        cases: dict[str, Callable[[], None]] = {
+            "dispatch_killed": lambda: _kill_and_start(fleet.dispatchers[1], 4.0),
+            "entry_killed": lambda: _kill_and_start(fleet.entries[1], 0.0),
+            "leaf_killed": lambda: _set_down(leaf),
+        }
+        if short:
+            del cases["entry_killed"], cases["leaf_killed"]
+        for number, (name, action) in enumerate(cases.items()):
+            result[name] = _measure(fleet, action, seconds, seed + number)
+            leaf.set_faults(down=None)
+        if not short:
+            for name, daemons in (("dispatch", fleet.dispatchers), ("entry", fleet.entries)):
+                case = f"rolling_restart_{name}"
+                result[case] = _measure(fleet, _rolling_restart(daemons), 20.0, seed + 9)
+    dispatch = result["dispatch_killed"]["seconds_to_full_service"]
+    result["targets"] = {"dispatch process replaced in 2 s (design 5.6)": dispatch <= 2.5}
+    return result
+
+
+def _set_down(leaf: Any) -> None:
+    leaf.set_faults(down=True)
+
+
+def _kill_and_start(daemon: DaemonProcess, wait_seconds: float) -> None:
+    daemon.kill()
+    time.sleep(wait_seconds)
+    daemon.start()
+    daemon.wait_ready()
+
+
+def _rolling_restart(daemons: Iterable[DaemonProcess]) -> Callable[[], None]:
+    def restart() -> None:
+        for daemon in daemons:
+            daemon.stop()
+            daemon.start()
+            daemon.wait_ready()
+
+    return restart
+
+
+def _measure(fleet: Fleet, action: Callable[[], None], seconds: float, seed: int) -> dict[str, Any]:
+    took: list[float] = []
+
+    def beside(starts_at: float) -> None:
+        time.sleep(max(0.0, starts_at + _CALM_SECONDS - time.monotonic()))
+        began = time.monotonic()
+        action()
+        took.append(time.monotonic() - began)
+
+    addresses = [entry.http for entry in fleet.entries]
+    streams = [Stream("search", _RATE, deadline_ms=1000)]
+    records = run_load(addresses, streams, seconds, seed, beside=beside)
+    before = between(records, 0.5, _CALM_SECONDS - 0.1)
+    after = between(records, _CALM_SECONDS - 0.1, seconds)
+    p99 = quantile((record.seconds for record in before), 0.99)
+    worst = quantile((record.seconds for record in after), 0.99)
+    return {
+        "seconds_to_full_service": _last([r for r in after if r.coverage < 1.0]),
+        "seconds_to_normal_latency": _last([r for r in after if r.seconds > _SLOW_FACTOR * p99]),
+        "action_seconds": round(took[0], 2) if took else None,
+        "p99_before_ms": round(1000 * p99, 1),
+        "p99_ratio_after": ratio(worst, p99),
+        "not_full": sum(record.coverage < 1.0 for record in after),
+        "after": summary(after, seconds - _CALM_SECONDS),
+    }
+
+
+def _last(records: list[Record]) -> float:
+    """Seconds from the failure to the last of the records; 0 without any."""
+    return round(max((r.due - _CALM_SECONDS for r in records), default=0.0), 2)
--- a/experiments/stragglers.py
+++ b/experiments/stragglers.py
@@ -56,10 +56,10 @@
         Figures with and without hedges, their ratios, and the verdicts on the targets.
     """
     fan_out, seconds, slow_seconds = (25, 6.0, 4.0) if short else (100, 30.0, 20.0)
+    rate = _CALLS_PER_SECOND / fan_out
     # With leaves that take 200 ms, 4 queries/s use a fifth of the slots of each service.
     slow_rate = min(rate, 4.0)
     warm_up = _WARM_UP_SECONDS / 2 if short else _WARM_UP_SECONDS
-    rate = _CALLS_PER_SECOND / fan_out
     result: dict[str, Any] = {
         "scale": f"{fan_out} services of 2 leaves with 2 slots, 4 dispatch processes, 1 entry "
         f"process, {rate:.0f} queries/s for {seconds:.0f} s, wait = complete; {_NOTE}",
