Keep a leaf drained until it says otherwise

Cause: 10 s after a leaf had announced in a response that it drains, it was taken for ready again although its health endpoint had said nothing since. Change: only a health check that does not say 'draining' ends an announcement, after the hold.

--- a/filbertreach/dispatch/_leaf_link.py
+++ b/filbertreach/dispatch/_leaf_link.py
@@ -181,15 +181,20 @@
             return
         if source in ("host_list", "document"):
             self._leaving_until_by_source.pop(source, None)
-        self._forget_leaving(now)
-
-    def _forget_leaving(self, now: float) -> None:
-        for source, until in list(self._leaving_until_by_source.items()):
-            if until <= now:
-                del self._leaving_until_by_source[source]
+        else:
+            self._forget_announcements(now)
         if not self._leaving_until_by_source and self.tracker.state == "draining":
             self.tracker.reported_state("ready", now)
 
+    def _forget_announcements(self, now: float) -> None:
+        """Ends what the leaf itself announced, after it has said otherwise."""
+        # Without this answer time alone would end it, and a leaf that drains with a silent health
+        # endpoint would get new work.
+        sources: tuple[LeavingSource, ...] = ("health", "response")
+        for source in sources:
+            if self._leaving_until_by_source.get(source, math.inf) <= now:
+                del self._leaving_until_by_source[source]
+
     def assign(self, attempt: Attempt) -> None:
         """Hands an attempt to an idle connection, or to a new one.
 
