Keep a leaving leaf drained when its health says starting

Cause: a health check that says 'starting' made the leaf available although the host list or the document said that it leaves, until these were looked at again. Change: 'starting' counts only for a leaf that no source calls leaving.

--- a/filbertreach/dispatch/_leaf_link.py
+++ b/filbertreach/dispatch/_leaf_link.py
@@ -305,7 +305,7 @@
         with contextlib.suppress(msgspec.DecodeError):
             state = msgspec.json.decode(health.body, type=_HealthBody).state
             self.leaving("health", now, leaving=state == "draining")
-            if state == "starting":
+            if state == "starting" and not self._leaving_until_by_source:
                 self.tracker.reported_state("starting", now)
         self._on_idle()
 
