--- a/filbertreach/agent/_agent.py
+++ b/filbertreach/agent/_agent.py
@@ -13,7 +13,7 @@
 from filbertreach.agent._gossip import Gossiper, GossipOptions, next_version
 from filbertreach.agent._host_list import HostListBoard, news_of
 from filbertreach.agent._local import LocalProcesses, view_content
-from filbertreach.agent._metrics import GENERATION, HOSTS, NEWS_AGE, USABLE
+from filbertreach.agent._metrics import GENERATION, HOSTS, LINKS, NEWS_AGE, USABLE
 from filbertreach.agent._registration import HostRegistration, RegistrationOptions
 from filbertreach.agent._roster import Roster
 from filbertreach.agent._values import HOSTS_PREFIX, HostRecord, InForce
@@ -347,6 +347,7 @@
         HOSTS.labels("present").set(len(self.roster.live_hosts))
         HOSTS.labels("gone").set(len(self.roster.gone))
         HOSTS.labels("registered").set(len(self.roster.registered.record_by_host))
+        LINKS.set(len(self.transport.peer_by_address))
         NEWS_AGE.set(now - self.book.news_at)
         for name, generation in self.book.generations.items():
             GENERATION.labels(name).set(generation)
--- a/filbertreach/agent/_metrics.py
+++ b/filbertreach/agent/_metrics.py
@@ -14,6 +14,7 @@
     "filbertreach_gossip_bytes", "Encoded size of sent gossip messages"
 )
 HOSTS = prometheus_client.Gauge("filbertreach_hosts", "Hosts as this agent sees them", ["state"])
+LINKS = prometheus_client.Gauge("filbertreach_links", "Peers that the transport keeps a link with")
 GENERATION = prometheus_client.Gauge(
     "filbertreach_accepted_generation", "Accepted generation held", ["environment"]
 )
--- a/tools/measure_control.py
+++ b/tools/measure_control.py
@@ -35,6 +35,8 @@
     """CPU time of all agents."""
     largest_bytes: int
     """Largest resident set of an agent."""
+    links: float
+    """Links of all agents."""
 
 
 async def _sample(fleet: AgentFleet) -> _Sample:
@@ -47,7 +49,8 @@
         largest = max(largest, int((folder / "statm").read_text().split()[1]) * _PAGE_BYTES)
     sent = sum(slot.inbox.bytes for slot in fleet.slots.values())
     calls = collections.Counter(counters["calls"])
-    return _Sample(time.monotonic(), calls, sent, cpu, largest)
+    links = sum([await fleet.metric(host, "filbertreach_links") for host in fleet.slots])
+    return _Sample(time.monotonic(), calls, sent, cpu, largest, links)
 
 
 def _document(generation: int, size: int) -> str:
@@ -98,6 +101,7 @@
         "bytes_per_host_per_s": round((after.host_bytes - before.host_bytes) / seconds / hosts),
         "cpu_share_per_host": round((after.cpu_seconds - before.cpu_seconds) / seconds / hosts, 4),
         "largest_mb": round(after.largest_bytes / 1e6, 1),
+        "links_per_host": round(after.links / hosts, 1),
         **more,
     }
     print(json.dumps(line), flush=True)
