Let the rings follow the hosts once these have settled

Cause: a starting fleet opened links for each intermediate set of hosts, and links that both sides heard were kept: 10.9 links for each of 16 hosts instead of 8. Change: rings follow a change after 1 s without a further one, at the latest after 3 s.

--- a/filbertreach/agent/_roster.py
+++ b/filbertreach/agent/_roster.py
@@ -22,6 +22,10 @@
 
 _FORGET_SECONDS = 600.0
 """A host that is gone and has had no record on the platform for this long is forgotten."""
+_SETTLE_SECONDS = 1.0
+"""The rings follow the known hosts when these have not changed for this long, so that a starting
+agent does not open links that the next message makes useless."""
+_LONGEST_SETTLE_SECONDS = 3.0
 _UNKNOWN_CONTACTS = 3
 """Registered hosts or seeds without a known state that an agent tries to reach at a time."""
 
@@ -37,6 +41,15 @@
     """Time before the listing, in seconds; -inf if there was none."""
 
 
+class _PendingHosts(NamedTuple):
+    hosts: frozenset[str]
+    """Hosts that the rings do not have yet."""
+    since: float
+    """Time when the hosts first differed from those of the rings, in seconds."""
+    changed_at: float
+    """Time when the hosts changed last, in seconds."""
+
+
 class Roster:
     """Combines the sources of membership.
 
@@ -71,6 +84,7 @@
         self._ring_hosts = frozenset([host])
         self._unregistered_since: dict[str, float] = {}
         self._suspects: set[str] = set()
+        self._pending: _PendingHosts | None = None
 
     @property
     def live_hosts(self) -> set[str]:
@@ -113,7 +127,7 @@
             for host, state in self.table.state_by_host.items()
             if state["state"] != "gone" or host == self._host
         ) | {self._host}
-        if hosts != self._ring_hosts:
+        if self._has_settled(hosts, now):
             self._ring_hosts, self._rings = hosts, Rings(hosts)
         self.gone = self._judge.gone(
             table=self.table,
@@ -123,6 +137,20 @@
             unregistered=self._unregistered_since,
         ) - {self._host}
 
+    def _has_settled(self, hosts: frozenset[str], now: float) -> bool:
+        """Returns whether the rings should now follow a change of the hosts."""
+        if hosts == self._ring_hosts:
+            self._pending = None
+            return False
+        pending = self._pending
+        if pending is None:
+            pending = _PendingHosts(hosts, now, now)
+        elif pending.hosts != hosts:
+            pending = _PendingHosts(hosts, pending.since, now)
+        self._pending = pending
+        settled = now - pending.changed_at >= _SETTLE_SECONDS
+        return settled or now - pending.since >= _LONGEST_SETTLE_SECONDS
+
     @property
     def neighbours(self) -> Neighbours:
         """Neighbours of this host in the rings; silent ones stay until they are forgotten."""
