Test the load generator's bounds and the experiments' figures

Cause: a load beyond its bounds or a wrong figure would go unnoticed. Change: tests/test_experiments_load.py; figures that are not numbers become null in the JSON. Conclusion: none.

--- a/experiments/__main__.py
+++ b/experiments/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import importlib
 import json
+import math
 import os
 import pathlib
 import platform
@@ -51,6 +52,15 @@
     }
 
 
+def _finite(value: Any) -> Any:
+    """Replaces NaN, which JSON does not have, by None."""
+    if isinstance(value, dict):
+        return {key: _finite(item) for key, item in value.items()}
+    if isinstance(value, list | tuple):
+        return [_finite(item) for item in value]
+    return None if isinstance(value, float) and not math.isfinite(value) else value
+
+
 def _run(name: str, seed: int, short: bool) -> dict[str, Any]:
     """Runs one experiment; an error becomes part of the results.
 
@@ -62,7 +72,7 @@
     started = time.monotonic()
     result: dict[str, Any] = {"question": item.question}
     try:
-        result["figures"] = item.run(seed, short)
+        result["figures"] = _finite(item.run(seed, short))
     except Exception:
         result["error"] = traceback.format_exc()
     result["seconds"] = round(time.monotonic() - started, 1)
--- /dev/null
+++ b/tests/test_experiments_load.py
@@ -0,0 +1,84 @@
+import math
+
+import pytest
+
+from experiments._figures import between, quantile, ratio, summary
+from experiments.flood import seconds_to_normal
+from experiments.load import MAX_SECONDS, Load, LoadError, Record, Stream, arrivals
+
+
+def _load(**changes):
+    values = Load(["127.0.0.1:1"], [Stream("booking", 50.0)], 10.0, 1, 0.0, "label")
+    return values._replace(**changes)
+
+
+@pytest.mark.parametrize(
+    ("changes", "message"),
+    [
+        ({"addresses": ["10.0.0.1:80"]}, "loopback"),
+        ({"addresses": ["127.0.0.1:1", "192.168.0.1:80"]}, "loopback"),
+        ({"seconds": MAX_SECONDS + 1}, "at most"),
+        ({"streams": [Stream("booking", 1e6)]}, "more than"),
+    ],
+)
+def test_a_load_beyond_its_bounds_is_refused(changes, message):
+    """Guards against load that leaves the machine or does not end."""
+    with pytest.raises(LoadError, match=message):
+        arrivals(_load(**changes))
+
+
+def test_arrivals_depend_only_on_the_seed_and_stay_in_their_span():
+    """Guards against loads that differ between a policy and its baseline."""
+    streams = [Stream("booking", 50.0), Stream("search", 80.0, starts=2.0, ends=4.0)]
+    drawn = arrivals(_load(streams=streams))
+    assert drawn == arrivals(_load(streams=streams))
+    assert drawn != arrivals(_load(streams=streams, seed=2))
+    assert [item.at for item in drawn] == sorted(item.at for item in drawn)
+    search = [item.at for item in drawn if item.stream.rank == "search"]
+    assert search and min(search) >= 2.0 and max(search) < 4.0
+    assert 400 < sum(item.stream.rank == "booking" for item in drawn) < 600
+
+
+def _records(*outcomes):
+    return [
+        Record("booking", "a", 0.1 * n, seconds, outcome, coverage)
+        for n, (seconds, outcome, coverage) in enumerate(outcomes)
+    ]
+
+
+def test_refused_queries_count_against_goodput_but_not_in_latency():
+    """Guards against a policy that looks fast because its refusals count as answers."""
+    records = _records((0.05, "answered", 1.0), (0.2, "answered", 0.5), (0.001, "refused", 0.0))
+    figures = summary(records, seconds=1.0)
+    assert figures["goodput"] == round(2 / 3, 5)
+    assert figures["in_target_share"] == round(1 / 3, 4)
+    assert (figures["p50_ms"], figures["p99_ms"]) == (50.0, 200.0)
+    assert (figures["mean_coverage"], figures["complete_share"]) == (0.75, 0.5)
+
+
+@pytest.mark.parametrize(
+    ("value", "baseline", "expected"),
+    [(1.0, 2.0, 0.5), (1.0, 0.0, None), (math.nan, 2.0, None), (1.0, math.nan, None)],
+)
+def test_ratio_without_a_baseline_is_none(value, baseline, expected):
+    """Guards against a missing baseline that reads as a met target."""
+    assert ratio(value, baseline) == expected
+
+
+def test_quantile_is_a_sample_and_between_selects():
+    """Guards against figures of the wrong phase or rank."""
+    assert quantile([3.0, 1.0, 2.0], 0.5) == 2.0
+    assert math.isnan(quantile([], 0.5))
+    records = _records((0.1, "answered", 1.0), (0.1, "answered", 1.0))
+    assert between(records, 0.05, 1.0, rank="booking") == records[1:]
+    assert between(records, 0.0, 1.0, rank="search") == []
+
+
+@pytest.mark.parametrize(("slow_until", "expected"), [(0.0, 0.0), (1.0, 1.0), (9.0, None)])
+def test_recovery_ends_with_the_last_slow_window(slow_until, expected):
+    """Guards against a recovery time that ignores a relapse."""
+    records = [
+        Record("booking", "a", 0.05 * n, 0.5 if 0.05 * n < slow_until else 0.05, "answered", 1.0)
+        for n in range(100)
+    ]
+    assert seconds_to_normal(records, p50_ms=50.0, since=0.0) == expected
