Share one budget of extra calls among the services of an environment

Cause: each service had a budget of its own with saved tokens, so 25 services that turned slow together could hedge 27% of their calls (experiment stragglers). Change: a dispatch process has one budget an environment; slow services earn little but do not cut the tokens that others earned.

--- a/filbertreach/dispatch/_daemon.py
+++ b/filbertreach/dispatch/_daemon.py
@@ -10,6 +10,7 @@
 import anyio.abc
 import msgspec
 
+from filbertreach.dispatch._hedging import HedgeBudget
 from filbertreach.dispatch._pending import PendingCall
 from filbertreach.dispatch._service import ServiceOwner, ServiceSettings
 from filbertreach.document import Environment, Service
@@ -73,6 +74,7 @@
             on_change=self._on_view,
         )
         self._owner_by_key: dict[_OwnerKey, ServiceOwner] = {}
+        self._budget_by_environment: dict[str, tuple[float, HedgeBudget]] = {}
         self._seen: OrderedDict[str, None] = OrderedDict()
         self._last_call_by_entry: dict[str, float] = {}
         self._group: anyio.abc.TaskGroup | None = None
@@ -228,7 +230,9 @@
         if owner is None:
             assert self._group is not None
             owner = ServiceOwner(
-                settings=ServiceSettings(environment, service, self._settings["dispatch"]),
+                settings=ServiceSettings(
+                    environment, service, self._settings["dispatch"], self._budget(environment)
+                ),
                 timers=self._timers,
                 tracing=self._tracing,
                 reply=self._reply,
@@ -239,6 +243,19 @@
             self._set_leaving(owner)
         return owner
 
+    def _budget(self, environment: Environment) -> HedgeBudget:
+        """Returns the budget that all services of the environment share.
+
+        With a budget for each service, the tokens that 25 services had saved were enough for
+        extra calls of 27% when all of them turned slow.
+        """
+        share = environment.policy.hedge_budget
+        known = self._budget_by_environment.get(environment.name)
+        if known is None or known[0] != share:
+            known = (share, HedgeBudget(share=share))
+            self._budget_by_environment[environment.name] = known
+        return known[1]
+
     async def _run_owner(self, owner: ServiceOwner) -> None:
         async with anyio.create_task_group() as group:
             await group.start(owner.run)
@@ -265,7 +282,7 @@
             environment = self.view.environment_by_name.get(key[0])
             changed = environment is not None and environment is not owner.environment
             if environment is not None and changed and key[1] in environment.services_by_name:
-                owner.update(environment)
+                owner.update(environment, self._budget(environment))
             self._set_leaving(owner)
         for environment in self.view.environment_by_name.values():
             for service in environment.services_by_name.values():
--- a/filbertreach/dispatch/_hedging.py
+++ b/filbertreach/dispatch/_hedging.py
@@ -58,7 +58,9 @@
                 add load where there is no faster leaf.
         """
         if slow:
-            self._tokens = min(self._tokens + self._share * _SLOW_SHARE, _SLOW_TOKENS)
+            # Tokens that other services of the budget earned are left as they are.
+            earned = min(self._tokens + self._share * _SLOW_SHARE, _SLOW_TOKENS)
+            self._tokens = max(self._tokens, earned)
         else:
             self._tokens = min(self._tokens + self._share, _MOST_TOKENS)
 
--- a/filbertreach/dispatch/_service.py
+++ b/filbertreach/dispatch/_service.py
@@ -65,6 +65,8 @@
     """The service."""
     dispatch: DispatchSection
     """Settings of the process."""
+    budget: HedgeBudget
+    """Budget of extra calls that all services of the environment share in this process."""
 
 
 class ServiceOwner:
@@ -108,7 +110,7 @@
             max_length=settings.dispatch["max_queue"],
         )
         self._chooser = make_replica_policy(name=settings.dispatch["replica_policy"])
-        self._budget = HedgeBudget(share=policy.hedge_budget)
+        self._budget = settings.budget
         self._delay = HedgeDelay(quantile=policy.hedge_quantile)
         self._latency = LatencyTracker()
         """Time of answered and timed-out calls at the leaves."""
@@ -152,17 +154,17 @@
         """Whether no call is waiting or running."""
         return not self._pending_by_key
 
-    def update(self, environment: Environment) -> None:
+    def update(self, environment: Environment, budget: HedgeBudget) -> None:
         """Takes over a newer generation of the document that still has the service.
 
         Args:
             environment: New document.
+            budget: Budget of the environment.
         """
         old = self.environment
         self.environment = environment
         self.service = environment.services_by_name[self.service.name]
-        if environment.policy.hedge_budget != old.policy.hedge_budget:
-            self._budget = HedgeBudget(share=environment.policy.hedge_budget)
+        self._budget = budget
         if environment.policy.hedge_quantile != old.policy.hedge_quantile:
             self._delay = HedgeDelay(quantile=environment.policy.hedge_quantile)
         if environment.ranks_by_name != old.ranks_by_name:
