Listen on inbox_listen in entry and dispatch processes

Cause: the setting inbox_listen was checked but used by the agent only, so that an entry or dispatch process that peers reach through another address did not start. Change: both pass it to the transport. Conclusion: tests/test_silent_connections.py can put relays between the processes.

--- a/filbertreach/dispatch/_daemon.py
+++ b/filbertreach/dispatch/_daemon.py
@@ -64,6 +64,7 @@
             incarnation=incarnation,
             events=self,
             clock=self._clock,
+            listen_address=process.get("inbox_listen"),
         )
         self.view = ViewClient(
             process=process,
--- a/filbertreach/entry/_daemon.py
+++ b/filbertreach/entry/_daemon.py
@@ -83,6 +83,7 @@
             incarnation=incarnation,
             events=self,
             clock=self.clock,
+            listen_address=process.get("inbox_listen"),
         )
         self.view = ViewClient(
             process=process,
