--- a/filbertreach_standins/faults/__init__.py
+++ b/filbertreach_standins/faults/__init__.py
@@ -16,6 +16,7 @@
     Record,
     Request,
 )
+from filbertreach_standins.faults._relayed import RelayedFleet
 
 __all__ = [
     "IN_FORCE_SECONDS",
@@ -28,6 +29,7 @@
     "Load",
     "PlannedStop",
     "Record",
+    "RelayedFleet",
     "Request",
     "checks_by_guarantee",
     "submit",
--- /dev/null
+++ b/filbertreach_standins/faults/_relayed.py
@@ -0,0 +1,48 @@
+"""A local fleet whose processes reach each other through relays."""
+
+from typing import Any
+
+import anyio
+import anyio.from_thread
+
+from filbertreach_standins.fleet import DaemonProcess, Fleet, FleetOptions
+from filbertreach_standins.relay import Relay
+
+
+class RelayedFleet(Fleet):
+    """A fleet without agents; connections between its processes can go silent.
+
+    Enter it as a context manager, as `Fleet`.
+    """
+
+    def __init__(self, *, options: FleetOptions) -> None:
+        """Prepares a fleet.
+
+        Args:
+            options: Size and behaviour; `hosts` must be 0.
+        """
+        super().__init__(options=options)
+        self.relay_by_process: dict[str, Relay] = {}
+        """Relay in front of the inbox of each process."""
+        self._portal: Any = None
+
+    def silence(self, process: str) -> None:
+        """Makes the connections to the inbox of a process swallow everything; new ones work.
+
+        Args:
+            process: Process name.
+        """
+        self._portal.call(self.relay_by_process[process].silence)
+
+    def _daemon(self, program: str, name: str) -> DaemonProcess:
+        if self._portal is None:
+            portal = anyio.from_thread.start_blocking_portal()
+            self._portal = self._stack.enter_context(portal)
+        daemon = super()._daemon(program, name)
+        relay = Relay(target=daemon.inbox)
+        self._stack.enter_context(self._portal.wrap_async_context_manager(relay))
+        self.relay_by_process[name] = relay
+        # The process listens at its own address and introduces itself with that of the relay.
+        daemon.settings["process"] |= {"inbox": relay.address, "inbox_listen": daemon.inbox}
+        daemon.inbox = relay.address
+        return daemon
--- /dev/null
+++ b/tests/test_silent_connections.py
@@ -0,0 +1,65 @@
+"""Guards calls on connections that go silent for ever while new connections work."""
+
+import itertools
+
+import pytest
+
+from filbertreach_standins import StandInProcess
+from filbertreach_standins.faults import Record, RelayedFleet, submit, violations
+from filbertreach_standins.faults.run import collect_executions
+from filbertreach_standins.fleet import FleetOptions
+
+_DEADLINE_MS = 8000
+_numbers = itertools.count()
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    with StandInProcess(module="key_value") as store:
+        platform = {"key_value_url": store.control.base_url, "timeout_seconds": "1"}
+        options = FleetOptions(
+            services=1, dispatchers=1, wait="complete", settings={"platform": platform}
+        )
+        with RelayedFleet(options=options) as running:
+            yield running
+
+
+def _send(fleet, record, *, idempotent, deadline_ms=_DEADLINE_MS):
+    tag = f"q{next(_numbers)}"
+    query = {"rows": 3} if idempotent else {"rows": 3, "write": tag}
+    body = fleet.query_body(
+        tag, shards=["fleet-0"], idempotent=idempotent, deadline_ms=deadline_ms, query=query
+    )
+    return submit(entry=fleet.entries[0], body=body, tag=tag, record=record)
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize("process", ["dispatch-0", "entry-0"])
+def test_a_call_over_a_silent_connection_between_processes(fleet, process, idempotent):
+    record = Record()
+    assert _send(fleet, record, idempotent=True).status == 200
+    fleet.silence(process)
+    request = _send(fleet, record, idempotent=idempotent)
+    # The connection is replaced and what it swallowed is sent again, once.
+    assert request.status == 200, request
+    collect_executions(fleet, record)
+    assert violations(record) == []
+    assert sum(run.tag == request.tag for run in record.executions) == 1
+
+
+@pytest.mark.parametrize(("idempotent", "problem"), [(True, ""), (False, "outcome-unknown")])
+def test_a_call_over_silent_connections_to_leaves(fleet, idempotent, problem):
+    record = Record()
+    # Hedges need a known latency.
+    for _ in range(40):
+        assert _send(fleet, record, idempotent=True).status == 200
+    chosen = {"fleet-0-a"} if idempotent else set(fleet.leaves_by_id)
+    for leaf in chosen:
+        fleet.leaves_by_id[leaf].set_faults(silent_connections=True)
+    answers = [_send(fleet, record, idempotent=idempotent, deadline_ms=1000) for _ in range(4)]
+    assert {answer.problem for answer in answers} <= {"", problem}, answers
+    assert any(answer.problem == problem for answer in answers), answers
+    # The silent connections were replaced, so that the leaves are usable again.
+    assert _send(fleet, record, idempotent=True).status == 200
+    collect_executions(fleet, record)
+    assert violations(record) == []
