Give calls more time in flight in the tests of planned stops

Cause: with calls of 20 ms, a dispatch process that does not wait for its calls when stopped passed one of two runs of its test. Change: calls take 60 ms. Seen to fail: without the wait in Dispatcher.drain, calls were lost (owner_lost); with an entry process that ends at once, requests were cut off. Conclusion: the tests notice the loss of the wait.

--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -14,7 +14,7 @@
 @pytest.fixture(scope="module")
 def fleet():
     options = FleetOptions(
-        hosts=3, services=4, connections=24, service_ms=20, leaf={"versions": [41, 42]}
+        hosts=3, services=4, connections=24, service_ms=60, leaf={"versions": [41, 42]}
     )
     with Fleet(options=options) as running:
         yield running
