Start agents of the harness again when a port was taken

Cause: a port chosen by the kernel for an agent was sometimes taken by an outgoing connection before the agent listened; the harness then waited for ever (1 of 4 starts of 8 agents in a loop). Change: the harness picks other ports and starts the agent again.

--- a/filbertreach_standins/agent_fleet.py
+++ b/filbertreach_standins/agent_fleet.py
@@ -177,6 +177,18 @@
         """Returns what a host's agent has logged."""
         return (self._folder / f"{host}.log").read_text(encoding="utf-8")
 
+    def _restart_if_port_was_taken(self, host: str) -> None:
+        """Starts an agent on other ports if another socket took one before the agent listened."""
+        process = self._process_by_host.get(host)
+        if process is None or process.poll() is None or "can't listen on" not in self.log(host):
+            return
+        slot = self.slots[host]
+        slot.inbox.target = free_address()
+        self.slots[host] = slot._replace(http=free_address())
+        self._write_settings(self.slots[host])
+        (self._folder / f"{host}.log").unlink()
+        self.start(host)
+
     def process_id(self, host: str) -> int:
         """Returns the process id of a host's agent."""
         return self._process_by_host[host].pid
@@ -199,6 +211,7 @@
 
     async def get(self, host: str, path: str) -> tuple[int, str]:
         """Sends a GET to the HTTP interface of a host's agent; 0 if it does not answer."""
+        self._restart_if_port_was_taken(host)
         return await anyio.to_thread.run_sync(_get, f"http://{self.slots[host].http}{path}")
 
     async def is_ready(self, host: str) -> bool:
