--- a/filbertreach/dispatch/_leaf_link.py
+++ b/filbertreach/dispatch/_leaf_link.py
@@ -177,18 +177,22 @@
         hold = math.inf if source in ("host_list", "document") else now + _DRAINING_HOLD_SECONDS
         if leaving:
             self._leaving_until_by_source[source] = hold
-            self.tracker.reported_state("draining", now)
+            self.tracker.leaving = True
             return
         if source in ("host_list", "document"):
             self._leaving_until_by_source.pop(source, None)
-        self._forget_leaving(now)
-
-    def _forget_leaving(self, now: float) -> None:
-        for source, until in list(self._leaving_until_by_source.items()):
-            if until <= now:
+        else:
+            self._forget_announcements(now)
+        self.tracker.leaving = bool(self._leaving_until_by_source)
+
+    def _forget_announcements(self, now: float) -> None:
+        """Ends what the leaf itself announced, after it has said otherwise."""
+        # Without this answer time alone would end it, and a leaf that drains with a silent health
+        # endpoint would get new work.
+        sources: tuple[LeavingSource, ...] = ("health", "response")
+        for source in sources:
+            if self._leaving_until_by_source.get(source, math.inf) <= now:
                 del self._leaving_until_by_source[source]
-        if not self._leaving_until_by_source and self.tracker.state == "draining":
-            self.tracker.reported_state("ready", now)
 
     def assign(self, attempt: Attempt) -> None:
         """Hands an attempt to an idle connection, or to a new one.
--- a/filbertreach/entry/_gather.py
+++ b/filbertreach/entry/_gather.py
@@ -82,6 +82,8 @@
         self.span = span
         self.outstanding_by_id: dict[str, OutstandingCall] = {}
         self.cancelled = False
+        self.queue_ms: float | None = None
+        """Longest `queue_ms` of the answers so far."""
         self._coverage = Coverage(shards=shards)
         self._merger = merger
         self._wait = wait
@@ -109,6 +111,7 @@
         if call is None:
             return
         self._may_have_run = True
+        self.queue_ms = max(self.queue_ms or 0.0, answer["queue_ms"])
         if answer["query_id"] != self.query.request_id or answer["shard"] != call.shard:
             self._lack(call.shard, "invalid_response", now)
             return
@@ -149,6 +152,17 @@
             self._may_have_run = True
             self._lack(call.shard, "owner_lost", now)
 
+    def on_moved(self, call: OutstandingCall) -> None:
+        """Forgets a call that is sent again because its dispatch process was lost.
+
+        The lost process may have sent it to a leaf, so the query can no longer be called not run.
+
+        Args:
+            call: The call.
+        """
+        if self.outstanding_by_id.pop(call.call_id, None) is not None:
+            self._may_have_run = True
+
     def not_sent(self, shard: str, now: float) -> None:
         """Records a shard for which no dispatch process was found; nothing was sent.
 
