--- a/experiments/__main__.py
+++ b/experiments/__main__.py
@@ -52,6 +52,14 @@
     }
 
 
+def _waited_for_cpu() -> float:
+    """Returns the seconds since boot in which some task of the machine waited for a core."""
+    path = pathlib.Path("/proc/pressure/cpu")
+    if not path.exists():
+        return 0.0
+    return int(path.read_text().split("total=")[1].split()[0]) / 1e6
+
+
 def _finite(value: Any) -> Any:
     """Replaces NaN, which JSON does not have, by None."""
     if isinstance(value, dict):
@@ -65,11 +73,11 @@
     """Runs one experiment; an error becomes part of the results.
 
     Returns:
-        Question, duration, load of the machine before and after, and figures or error.
+        Question, duration, load and CPU pressure of the machine, and figures or error.
     """
     item = EXPERIMENTS_BY_NAME[name]
     load_before = os.getloadavg()[0]
-    started = time.monotonic()
+    started, waited = time.monotonic(), _waited_for_cpu()
     result: dict[str, Any] = {"question": item.question}
     try:
         result["figures"] = _finite(item.run(seed, short))
@@ -78,6 +86,8 @@
     result["seconds"] = round(time.monotonic() - started, 1)
     load_after = os.getloadavg()[0]
     result["load_average"] = [round(load_before, 2), round(load_after, 2)]
+    cpu_pressure = (_waited_for_cpu() - waited) / max(0.1, time.monotonic() - started)
+    result["cpu_pressure"] = round(cpu_pressure, 3)
     # A fleet needs about half of the cores; more processes beside it distort latencies.
     result["busy_machine"] = load_before > 0.5 * (os.cpu_count() or 1)
     return result
--- a/experiments/_report.py
+++ b/experiments/_report.py
@@ -25,7 +25,10 @@
     for name, result in report["experiments"].items():
         lines += ["", f"{name}: {result['question']}"]
         busy = ", busy machine" if result["busy_machine"] else ""
-        lines.append(f"  {result['seconds']} s, load average {result['load_average']}{busy}")
+        lines.append(
+            f"  {result['seconds']} s, load average {result['load_average']}, CPU pressure "
+            f"{result['cpu_pressure']}{busy}"
+        )
         if "error" in result:
             lines.append("  error: " + result["error"].strip().splitlines()[-1])
             continue
