--- a/experiments/stragglers.py
+++ b/experiments/stragglers.py
@@ -8,12 +8,12 @@
 from filbertreach_standins.fleet import Fleet, FleetOptions
 
 _SERVICE_MS = 50.0
-"""At 20 ms on a machine with other load, waiting for a core took longer than a leaf: a fan-out of 50
-without stragglers had a p50 of 77 ms."""
+"""At 20 ms on a machine with other load, waiting for a core took longer than a leaf: a fan-out of
+50 without stragglers had a p50 of 77 ms."""
 _WARM_UP_SECONDS = 3.0
 _SLOW_FACTOR = 10.0
 _CALLS_PER_SECOND = 250.0
-"""Leaf calls of the load, a quarter of the slots of 25 services; the CPU of a call is about 2 ms."""
+"""Leaf calls of the load: an eighth of the slots of 25 services."""
 _NOTE = f"leaves take {_SERVICE_MS:.0f} ms, so that the policy outweighs the CPU of the daemons"
 
 
