Hold a planned change on the daemons until its clients were called

Cause: the dispatch process drained a leaf by the clock alone, so a change started although a client that it may slow had not been called. Change: agents read the call records, pass them on by gossip to agents that know an older revision, and to the processes of their host. The dispatch process asks active_changes; unknown records hold every due change. Held changes are in filbertreach_changes_held, the log, the host record and 'filbertreach-ctl status'. drain_host and replace_leaf drain their leaves too. The test rig of gossip gets the new option of GossipOptions; no check changed.

--- a/filbertreach/agent/_agent.py
+++ b/filbertreach/agent/_agent.py
@@ -8,6 +8,7 @@
 import anyio.abc
 from returns.result import Success
 
+from filbertreach.agent._call_board import CallBoard
 from filbertreach.agent._documents import DocumentBook
 from filbertreach.agent._feed import EnvironmentFeed, FeedOptions
 from filbertreach.agent._gossip import Gossiper, GossipOptions, next_version
@@ -82,6 +83,7 @@
             clock=self._clock,
         )
         self.book = DocumentBook()
+        self._calls = CallBoard()
         self._board = HostListBoard()
         self.roster = Roster(
             host=process["host"],
@@ -98,6 +100,7 @@
                 table=self.roster.table,
                 board=self._board,
                 book=self.book,
+                calls=self._calls,
                 clock=self._clock,
                 fanout=self._agent_settings.get("gossip_fanout", 3),
                 is_ready=lambda: self.is_ready,
@@ -108,6 +111,7 @@
             FeedOptions(
                 client=options.key_value,
                 book=self.book,
+                calls=self._calls,
                 poll_seconds=self._agent_settings.get("poll_seconds", 5.0),
                 fleet_size=self._fleet_size,
                 on_change=self._mark_changed,
@@ -251,6 +255,7 @@
                     undecided=self.book.proposal_by_environment,
                     members=self.roster.members(),
                     leaving_addresses=self._board.news["leaving_addresses"],
+                    calls=self._calls.copy,
                 )
             )
         if self._registration is not None:
@@ -341,6 +346,7 @@
             prepared=self.book.prepared,
             in_force=dict(self._in_force),
             members=self._local.members,
+            held_changes=self._local.held_changes,
         )
 
     def _update_metrics(self, now: float, usable: dict[str, bool]) -> None:
--- a/filbertreach/agent/_feed.py
+++ b/filbertreach/agent/_feed.py
@@ -8,6 +8,7 @@
 import anyio
 from returns.result import Success
 
+from filbertreach.agent._call_board import CallBoard
 from filbertreach.agent._documents import DocumentBook
 from filbertreach.agent._values import ENVIRONMENTS_PREFIX, parse_document_value
 from filbertreach.platform import KeyValueClient, KeyValueListing, PlatformError
@@ -35,12 +36,14 @@
     """Client of the key-value service."""
     book: DocumentBook
     """Documents of this host."""
+    calls: CallBoard
+    """Call records of this host."""
     poll_seconds: float
     """Time between two polls of a small fleet."""
     fleet_size: Callable[[], int]
     """Returns the number of hosts that this agent believes to be alive."""
     on_change: Callable[[], None]
-    """Called after the book has changed."""
+    """Called after the book or the call records have changed."""
 
 
 class EnvironmentFeed:
@@ -95,6 +98,7 @@
             self._highest_revision = max(self._highest_revision, batch.revision)
             for event in batch.events:
                 self._take(event.key, event.value)
+            self._options.calls.take_events(batch)
             if batch.events:
                 self._options.on_change()
                 # All agents see a change at once; they must not all come back at once.
@@ -152,6 +156,7 @@
         self._watched_revision = self._highest_revision = listing.revision
         for key, item in listing.items_by_key.items():
             self._take(key, item.value)
+        self._options.calls.take_listing(listing)
 
     def _take(self, key: str, value: str | None) -> None:
         environment, _, leaf = key.removeprefix(ENVIRONMENTS_PREFIX).rpartition("/")
--- a/filbertreach/agent/_gossip.py
+++ b/filbertreach/agent/_gossip.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from filbertreach.agent._call_board import CallBoard
 from filbertreach.agent._documents import DocumentBook
 from filbertreach.agent._host_list import HostListBoard
 from filbertreach.agent._metrics import GOSSIP_BYTES, GOSSIP_MESSAGES
@@ -35,6 +36,8 @@
     """Host list news."""
     book: DocumentBook
     """Documents."""
+    calls: CallBoard
+    """Call records."""
     clock: Clock
     """Source of time."""
     fanout: int
@@ -110,6 +113,13 @@
                 address, Gossip(**{**self._greeting(), "host_list": self._options.board.news})
             )
 
+    def _pass_on_calls(self, *, heard_from: str) -> None:
+        copy = self._options.calls.copy
+        if copy is None:
+            return
+        for address in self.neighbour_addresses - {heard_from}:
+            self._send(address, Gossip(**{**self._greeting(), "calls": copy}))
+
     def on_gossip(self, received: Received) -> None:
         """Takes a message of another agent and answers it if they differ.
 
@@ -126,6 +136,9 @@
         if "host_list" in message and self._options.board.merge(message["host_list"]):
             changed = True
             self.pass_on_host_list(heard_from=sender)
+        if "calls" in message and self._options.calls.merge(message["calls"]):
+            changed = True
+            self._pass_on_calls(heard_from=sender)
         answer = self._answer(message)
         wanted = self._documents_to_fetch(message, received)
         if wanted:
@@ -139,7 +152,7 @@
         options = self._options
         book = options.book
         age = options.clock.now() - book.news_at
-        return Gossip(
+        greeting = Gossip(
             kind="gossip",
             digest=options.table.digest,
             host_list_digest=options.board.digest,
@@ -150,6 +163,9 @@
             news_age_seconds=age if math.isfinite(age) else -1.0,
             ready=options.is_ready(),
         )
+        if options.calls.revision:
+            greeting["calls_revision"] = options.calls.revision
+        return greeting
 
     def _take_states(self, message: Gossip, sender: str) -> bool:
         new = self._options.table.merge(message.get("states", []))
@@ -176,6 +192,9 @@
         if message["host_list_digest"] != board.digest and "host_list" not in message:
             # Both sides may send theirs; the newer one stays.
             answer["host_list"] = board.news
+        calls = self._options.calls.copy
+        if calls is not None and calls["revision"] > message.get("calls_revision", 0):
+            answer["calls"] = calls
         if "wanted_hosts" in message:
             answer["states"] = [
                 table.state_by_host[host]
@@ -240,7 +259,8 @@
 def _is_plain(message: Gossip) -> bool:
     """Returns whether a message begins an exchange rather than being part of one."""
     return not any(
-        key in message for key in ("states", "versions", "wanted_hosts", "documents", "host_list")
+        key in message
+        for key in ("states", "versions", "wanted_hosts", "documents", "host_list", "calls")
     )
 
 
--- a/filbertreach/agent/_local.py
+++ b/filbertreach/agent/_local.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple, cast
 
 from filbertreach.agent._documents import AcceptedDocument
-from filbertreach.schema import DocumentCopy, Hello, Member, View
+from filbertreach.schema import CallBoardCopy, DocumentCopy, HeldChange, Hello, Member, View
 from filbertreach.timing import Clock
 from filbertreach.transport import Received, Transport
 
@@ -31,6 +31,8 @@
     """Known processes of the fleet."""
     leaving_addresses: list[str]
     """Addresses of leaving backend servers."""
+    calls: CallBoardCopy | None = None
+    """Call records, None if they are not known."""
 
 
 class _Process:
@@ -40,6 +42,7 @@
         self.member = member
         self.heard_at = heard_at
         self.generations: dict[str, int] = {}
+        self.held_changes: list[HeldChange] = []
         self.sent_view: ViewContent | None = None
         self.sent_texts: dict[str, int] = {}
         self.sent_at = -math.inf
@@ -71,6 +74,16 @@
         members = (process.member for process in self._process_by_address.values())
         return sorted(members, key=lambda member: member["name"])
 
+    @property
+    def held_changes(self) -> list[HeldChange]:
+        """Planned changes that processes of this host hold, once each, by name."""
+        held = {
+            (change["environment"], change["change"], change["reason"]): change
+            for process in self._process_by_address.values()
+            for change in process.held_changes
+        }
+        return [held[key] for key in sorted(held)]
+
     def on_hello(self, received: Received) -> None:
         """Takes a `hello`.
 
@@ -93,6 +106,7 @@
             self._process_by_address[received.address] = process
         process.member, process.heard_at = member, now
         process.generations = hello["generations"]
+        process.held_changes = hello.get("held_changes", [])
         if now - process.sent_at > _RESEND_SECONDS and any(
             process.generations.get(name, 0) < sent for name, sent in process.sent_texts.items()
         ):
@@ -169,12 +183,15 @@
                 undecided=name in content.undecided,
             )
         )
-    return View(
+    view = View(
         kind="view",
         documents=copies,
         members=content.members,
         leaving_addresses=content.leaving_addresses,
     )
+    if content.calls is not None:
+        view["calls"] = content.calls
+    return view
 
 
 def view_content(
@@ -184,6 +201,7 @@
     undecided: Collection[str],
     members: list[Member],
     leaving_addresses: list[str],
+    calls: CallBoardCopy | None = None,
 ) -> ViewContent:
     """Returns a view's content in a fixed order.
 
@@ -193,6 +211,7 @@
         undecided: Environments with a proposal that may have been accepted.
         members: Known processes.
         leaving_addresses: Addresses of leaving backend servers.
+        calls: Call records, None if they are not known.
     """
     return ViewContent(
         documents=tuple(sorted(documents)),
@@ -200,4 +219,5 @@
         undecided=frozenset(undecided),
         members=sorted(members, key=lambda member: member["name"]),
         leaving_addresses=sorted(leaving_addresses),
+        calls=calls,
     )
--- a/filbertreach/agent/_values.py
+++ b/filbertreach/agent/_values.py
@@ -8,7 +8,7 @@
 from typing_extensions import TypedDict
 
 from filbertreach.agent._errors import ValueFormatError
-from filbertreach.schema import Member
+from filbertreach.schema import HeldChange, Member
 
 ENVIRONMENTS_PREFIX = "filbertreach/environments/"
 HOSTS_PREFIX = "filbertreach/hosts/"
@@ -68,6 +68,8 @@
     """Generation in force by environment."""
     members: list[Member]
     """Entry and dispatch processes of the host."""
+    held_changes: NotRequired[list[HeldChange]]
+    """Planned changes that are due and that a process of the host holds."""
 
 
 def digest_of(text: str) -> str:
--- a/filbertreach/agent/tests/test_gossip.py
+++ b/filbertreach/agent/tests/test_gossip.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from filbertreach.agent._call_board import CallBoard
 from filbertreach.agent._documents import DocumentBook
 from filbertreach.agent._gossip import Gossiper, GossipOptions, next_version
 from filbertreach.agent._host_list import HostListBoard
@@ -40,6 +41,7 @@
             table=HostTable(),
             board=HostListBoard(),
             book=DocumentBook(),
+            calls=CallBoard(),
             clock=self.clock,
             fanout=3,
             is_ready=lambda: True,
--- a/filbertreach/changes/__init__.py
+++ b/filbertreach/changes/__init__.py
@@ -15,6 +15,7 @@
     Situation,
     UnusableChangeError,
     change_effects,
+    drained_leaves,
     effect_kind,
 )
 from filbertreach.changes._slowdowns import Slowdown, check_changes, slowed_clients
@@ -30,6 +31,7 @@
     "active_changes",
     "change_effects",
     "check_changes",
+    "drained_leaves",
     "effect_kind",
     "held_changes",
     "slowdown_ratio",
--- a/filbertreach/changes/_calls.py
+++ b/filbertreach/changes/_calls.py
@@ -2,7 +2,8 @@
 
 import datetime
 from collections.abc import Mapping
-from typing import TypedDict
+
+from typing_extensions import TypedDict
 
 from filbertreach.changes._effects import Situation, UnusableChangeError, change_effects
 from filbertreach.changes._slowdowns import slowed_clients
--- a/filbertreach/changes/_effects.py
+++ b/filbertreach/changes/_effects.py
@@ -50,7 +50,7 @@
         lost = set(self.situation.lost_leaves)
         for other in self.environment.changes_by_name.values():
             if other.name != self.change.name and _overlap(other, self.change):
-                lost |= _drained_leaves(self.environment, other)
+                lost |= drained_leaves(self.environment, other)
         return lost
 
     def utilisation(self, service: Service) -> float:
@@ -125,7 +125,8 @@
     return first.starts < second.ends and second.starts < first.ends
 
 
-def _drained_leaves(environment: Environment, change: Change) -> set[str]:
+def drained_leaves(environment: Environment, change: Change) -> set[str]:
+    """Returns the ids of the leaves that get no new work while a change is in force."""
     if change.kind in ("drain_leaf", "replace_leaf"):
         return {change.subject}
     if change.kind == "drain_host":
--- a/filbertreach/ctl/_records.py
+++ b/filbertreach/ctl/_records.py
@@ -53,6 +53,17 @@
     """When it was put in force, UTC."""
 
 
+class HeldChange(TypedDict):
+    """A planned change that is due and that a process of a host does not carry out."""
+
+    environment: str
+    """Environment name."""
+    change: str
+    """Change name."""
+    reason: str
+    """Why it is held."""
+
+
 class HostRecord(TypedDict):
     """Written by the agent of a host."""
 
@@ -68,6 +79,8 @@
     """Digest of the prepared proposal, by environment."""
     in_force: NotRequired[dict[str, InForce]]
     """What it serves, by environment."""
+    held_changes: NotRequired[list[HeldChange]]
+    """Planned changes that it holds."""
 
 
 class TrialRecord(TypedDict):
--- a/filbertreach/ctl/_verbs_read.py
+++ b/filbertreach/ctl/_verbs_read.py
@@ -260,6 +260,17 @@
     )
 
 
+def _held_changes(hosts: Hosts, environment: str) -> dict[str, dict[str, list[str]]]:
+    """Returns the hosts that hold a change, by reason, by change name."""
+    found: dict[str, dict[str, list[str]]] = {}
+    for host, record in sorted(hosts.record_by_host.items()):
+        for held in record.get("held_changes", []):
+            if held["environment"] == environment:
+                by_reason = found.setdefault(held["change"], {})
+                by_reason.setdefault(held["reason"], []).append(host)
+    return found
+
+
 async def _accepted_status(
     context: Context, accepted: Accepted, hosts: Hosts, lines: list[str], entry: dict[str, Any]
 ) -> None:
@@ -283,6 +294,11 @@
             else "nothing in force"
         )
         lines.append(f"  {host}  {place}  {state}  {what}" + ("  BEHIND" if host in behind else ""))
+    held = _held_changes(hosts, name)
+    for change, hosts_by_reason in held.items():
+        for reason, holders in hosts_by_reason.items():
+            lines.append(f"  change {change} is HELD by {', '.join(holders)}: {reason}")
+    entry["held_changes"] = held
     not_heard = hosts.not_heard(accepted)
     lines += [f"  {host}  has not been heard from" for host in not_heard]
     entry["accepted"] = {key: item for key, item in accepted.items() if key != "text"}
--- a/filbertreach/dispatch/_daemon.py
+++ b/filbertreach/dispatch/_daemon.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from filbertreach.dispatch._pending import PendingCall
+from filbertreach.dispatch._planned_changes import PlannedChanges, drained_by
 from filbertreach.dispatch._service import ServiceOwner, ServiceSettings
 from filbertreach.document import Environment, Service
 from filbertreach.membership import ViewClient, owner_of
@@ -72,6 +73,7 @@
             transport=self.transport,
             on_change=self._on_view,
         )
+        self._planned = PlannedChanges()
         self._owner_by_key: dict[_OwnerKey, ServiceOwner] = {}
         self._seen: OrderedDict[str, None] = OrderedDict()
         self._last_call_by_entry: dict[str, float] = {}
@@ -261,6 +263,7 @@
         self._health.set(
             "view", "" if self.view.environment_by_name else "no environment document yet"
         )
+        self._update_planned()
         for key, owner in list(self._owner_by_key.items()):
             environment = self.view.environment_by_name.get(key[0])
             changed = environment is not None and environment is not owner.environment
@@ -274,13 +277,34 @@
                     self._open(environment, service)
 
     def _set_leaving(self, owner: ServiceOwner) -> None:
-        now = datetime.datetime.now(datetime.UTC)
-        draining = frozenset(
-            change.subject
-            for change in owner.environment.changes_by_name.values()
-            if change.kind == "drain_leaf" and change.starts <= now < change.ends
-        )
+        environment = self._newest(owner)
+        draining = drained_by(environment, self._planned.active(environment, _now_utc()))
         owner.set_leaving(host_list=self.view.leaving_addresses, document=draining)
+        if draining.isdisjoint(owner.service.leaf_by_id):
+            owner.meter.end()
+        else:
+            owner.meter.begin(environment.policy.slowdown_bound)
+
+    def _update_planned(self) -> None:
+        """Works out anew which changes are held, and says so."""
+        self._planned.take_calls(self.view.calls)
+        for environment in self.view.environment_by_name.values():
+            self._planned.active(environment, _now_utc())
+        self.view.tell_held(self._planned.held())
+
+    def _note_slowed(self, owner: ServiceOwner) -> None:
+        """Tells which clients the changes that drain a leaf of this service slow too much."""
+        slowed = owner.meter.slowed()
+        if not slowed:
+            return
+        environment = self._newest(owner)
+        for change in self._planned.active(environment, _now_utc()):
+            if not drained_by(environment, (change,)).isdisjoint(owner.service.leaf_by_id):
+                self._planned.note_slowed(environment, change, slowed)
+
+    def _newest(self, owner: ServiceOwner) -> Environment:
+        """Returns the newest document; an owner keeps the last one that had its service."""
+        return self.view.environment_by_name.get(owner.environment.name, owner.environment)
 
     # Periodic work.
 
@@ -306,8 +330,15 @@
         if pause:
             _LOGGER.warning("the process was paused", seconds=round(pause, 3))
         now = self._clock.now()
+        for owner in self._owner_by_key.values():
+            self._note_slowed(owner)
+        self._update_planned()
         for key, owner in list(self._owner_by_key.items()):
             self._set_leaving(owner)
             if owner.is_unused(now):
                 owner.close()
                 del self._owner_by_key[key]
+
+
+def _now_utc() -> datetime.datetime:
+    return datetime.datetime.now(datetime.UTC)
--- a/filbertreach/dispatch/_metrics.py
+++ b/filbertreach/dispatch/_metrics.py
@@ -29,6 +29,16 @@
     "Results of calls from entry processes; result is answer or the reason of the failure.",
     ["environment", "rank", "result"],
 )
+CHANGES_HELD = Gauge(
+    "filbertreach_changes_held",
+    "1 for a planned change that is due and held, 0 for one in force; absent for others.",
+    ["environment", "change"],
+)
+CLIENTS_SLOWED = Counter(
+    "filbertreach_change_slowed_clients_total",
+    "Clients measured to be slowed beyond the policy's slowdown_bound by a planned change.",
+    ["environment", "change"],
+)
 LEAF_CONNECTIONS = Gauge("filbertreach_leaf_connections", "Open connections to leaves.")
 CONNECTIONS_REPLACED = Counter(
     "filbertreach_leaf_connections_replaced_total",
--- a/filbertreach/dispatch/_service.py
+++ b/filbertreach/dispatch/_service.py
@@ -1,6 +1,7 @@
 """The owner of one service: its queue, the choice of leaves, hedges and retries."""
 
 import itertools
+import math
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -32,6 +33,7 @@
 from filbertreach.dispatch._pending import Attempt, AttemptKind, PendingCall
 from filbertreach.dispatch._queue import QueuedCall, make_queue
 from filbertreach.dispatch._replicas import make_replica_policy
+from filbertreach.dispatch._slowdown_meter import SlowdownMeter
 from filbertreach.document import Environment, Service
 from filbertreach.observability import Tracing
 from filbertreach.schema import Answer, DispatchSection, Failure, ServiceLoad
@@ -48,6 +50,8 @@
 reported to wait for ever, and entry processes would refuse queries."""
 _MOST_RETRY_LOOKUPS = 64
 """Calls that wait for a second leaf and are looked at in one round."""
+_NOT_MEASURED = frozenset({"cancelled", "version_unavailable"})
+"""Results that say nothing about the speed of the service."""
 _UNUSED_SECONDS = 30.0
 """A service neither owned nor used for this long is closed."""
 
@@ -93,6 +97,8 @@
         self.environment = settings.environment
         self.service = settings.service
         self.last_used = timers.clock.now()
+        self.meter = SlowdownMeter()
+        """Latency by client, from the arrival of a call to its answer."""
         self._dispatch = settings.dispatch
         self._timers = timers
         self._clock = timers.clock
@@ -558,6 +564,9 @@
             self._cancel_attempt(attempt)
         outcome = "answer" if result["kind"] == "answer" else result["reason"]
         CALL_RESULTS.labels(self.environment.name, pending.call["rank"], outcome).inc()
+        if outcome not in _NOT_MEASURED:
+            seconds = self._clock.now() - pending.received_at
+            self.meter.record(pending.call["client"], seconds if outcome == "answer" else math.inf)
         pending.span.set("result", outcome)
         pending.span.set("attempts", pending.attempts)
         pending.span.end()
--- a/filbertreach/membership/_client.py
+++ b/filbertreach/membership/_client.py
@@ -11,7 +11,16 @@
 from returns.result import Success
 
 from filbertreach.document import Environment, parse_document
-from filbertreach.schema import DocumentCopy, Hello, Member, ProcessSection, View, ViewSection
+from filbertreach.schema import (
+    CallBoardCopy,
+    DocumentCopy,
+    HeldChange,
+    Hello,
+    Member,
+    ProcessSection,
+    View,
+    ViewSection,
+)
 from filbertreach.timing import Clock, SystemClock
 from filbertreach.transport import Received, Transport
 
@@ -69,6 +78,9 @@
         """Known processes of the fleet, this one included."""
         self.leaving_addresses: frozenset[str] = frozenset()
         """ip:port or ip of backend servers that are leaving."""
+        self.calls: CallBoardCopy | None = None
+        """Newest call records, None until the agent has told them."""
+        self._held_changes: list[HeldChange] = []
         self.is_loaded = False
         """Whether a view was received from the agent or loaded from files."""
         self.on_change = on_change
@@ -136,6 +148,17 @@
             self._replace_self()
             self.on_change()
 
+    def tell_held(self, held_changes: list[HeldChange]) -> None:
+        """Tells the agent which planned changes this process holds, at once if they are others.
+
+        Args:
+            held_changes: All that it holds.
+        """
+        if held_changes != self._held_changes:
+            self._held_changes = held_changes
+            if self._agent:
+                self._send_hello()
+
     def usable(self, environment: str) -> bool:
         """Returns whether this host may serve the environment now.
 
@@ -166,6 +189,9 @@
         self._agent_heard_at = self._clock.now()
         self.members = view["members"]
         self.leaving_addresses = frozenset(view["leaving_addresses"])
+        calls = view.get("calls")
+        if calls is not None and (self.calls is None or self.calls["revision"] < calls["revision"]):
+            self.calls = calls
         self.is_loaded = True
         if any(installed):
             self._send_hello()
@@ -210,6 +236,8 @@
             name: environment.generation for name, environment in self.environment_by_name.items()
         }
         message = Hello(kind="hello", member=self._member, generations=generations)
+        if self._held_changes:
+            message["held_changes"] = self._held_changes
         self._transport.send(address=self._agent, message=message)
 
     def _load_files(self) -> None:
--- a/filbertreach/schema/_generated_messages.py
+++ b/filbertreach/schema/_generated_messages.py
@@ -262,6 +262,71 @@
     """
 
 
+class CallCopy(TypedDict):
+    """
+    One record of a phone call before a planned change, or of an override.
+    """
+
+    environment: str
+    """
+    Environment name.
+    """
+    change: str
+    """
+    Name of the planned change.
+    """
+    client: str
+    """
+    Client that was called; @override for an override.
+    """
+    by: str
+    """
+    Who called.
+    """
+    at: str
+    """
+    When, UTC.
+    """
+    digest: str
+    """
+    Digest of the change that was announced.
+    """
+
+
+class CallBoardCopy(TypedDict):
+    """
+    All call records of all environments as of one revision of the key-value service.
+    """
+
+    revision: int
+    """
+    Revision at which exactly these records existed.
+    """
+    records: list[CallCopy]
+    """
+    The records in a fixed order.
+    """
+
+
+class HeldChange(TypedDict):
+    """
+    A planned change that is due and that a process does not carry out.
+    """
+
+    environment: str
+    """
+    Environment name.
+    """
+    change: str
+    """
+    Name of the planned change.
+    """
+    reason: str
+    """
+    Why it is held.
+    """
+
+
 class Hello(TypedDict):
     """
     A process introduces itself to its host's agent; repeated as a heartbeat.
@@ -276,6 +341,10 @@
     """
     Generation in force at the sender, by environment.
     """
+    held_changes: NotRequired[list[HeldChange]]
+    """
+    Planned changes that the sender holds; absent for none.
+    """
 
 
 class DocumentCopy(TypedDict):
@@ -323,6 +392,7 @@
     """
     ip:port or ip of backend servers that the host list shows as leaving.
     """
+    calls: NotRequired[CallBoardCopy]
 
 
 class HostState(TypedDict):
@@ -442,6 +512,11 @@
     """
     Documents that the receiver asked for.
     """
+    calls_revision: NotRequired[int]
+    """
+    Revision of the call records that the sender knows; absent if it knows none.
+    """
+    calls: NotRequired[CallBoardCopy]
 
 
 class Frame(TypedDict):
--- a/filbertreach_standins/fleet.py
+++ b/filbertreach_standins/fleet.py
@@ -59,6 +59,14 @@
     hosts: int = 0
     """Hosts with an agent, an entry and a dispatch process each, which learn documents and members
     from the platform's stand-ins. 0: no agents; `dispatchers` and `entries` use a fixed view."""
+    trial: str = ""
+    """Trial environment of the document; with hosts, the first document is promoted from it."""
+    clients: str = "*"
+    """Clients that the application counter may query for."""
+    sections: str = ""
+    """Additional sections of the document, for example clients and planned changes."""
+    ctl: dict[str, str] = {}
+    """Additional options of the section [ctl] in the settings of filbertreach-ctl."""
 
 
 def free_address() -> str:
@@ -360,7 +368,12 @@
             self.add_host(name)
         for agent in self.agents:
             agent.wait_listening()
+        trial = self.options.trial
+        if trial:
+            document_file.write_text(self.make_document(trial), encoding="utf-8")
         self.ctl("apply", str(document_file), "--reason", "first document", "--wait", "30")
+        if trial:
+            self.ctl("promote", "local", "--from", trial, "--wait", "30")
         for daemon in [*self.agents, *self.dispatchers, *self.entries]:
             daemon.wait_ready()
 
@@ -460,9 +473,10 @@
                 key.write_text(f"{name * 12}\n")
         settings = folder / f"{operator}.ini"
         platform = "\n".join(f"{k} = {v}" for k, v in self._platform_settings().items())
+        options = "".join(f"{key} = {value}\n" for key, value in self.options.ctl.items())
         settings.write_text(
             f"[ctl]\noperator = {operator}\nkey_file = {folder / operator}.key\n"
-            f"keys_file = {keys}\n[platform]\n{platform}\n"
+            f"keys_file = {keys}\n{options}[platform]\n{platform}\n"
         )
         return settings
 
@@ -503,6 +517,7 @@
         options = self.options
         parts = [
             f"[environment]\nname = {name}\n",
+            *([f"trial = {options.trial}\n"] if options.trial and name != options.trial else []),
             "[policy]",
             f"wait = {options.wait}",
             *(f"{key} = {value}" for key, value in options.policy.items()),
@@ -523,7 +538,9 @@
             "[rank booking]\npriority = 0\ntarget_ms = 90\nworth = 100\nkept_share = 0.2",
             "[rank search]\npriority = 1\ntarget_ms = 250\nworth = 10\nkept_share = 0.2",
             "[rank invoicing]\npriority = 2\ntarget_ms = 2000\nworth = 1\nkept_share = 0.1",
-            "[application counter]\nshards = fleet-*\nranks = booking search invoicing",
+            "[application counter]\nshards = fleet-*\nranks = booking search invoicing"
+            f"\nclients = {options.clients}",
             "[application workshop-7]\nshards = fleet-0\nranks = search",
+            options.sections,
         ]
         return "\n".join(parts) + "\n"
