Notice a swallowed direction and a forgotten link

Change: a peer that acknowledges nothing after it had acknowledged something is treated as lost and gets a new epoch; frames say how long ago the receiver was heard, and the outgoing connection is replaced when that is too long.

--- a/filbertreach/schema/_generated_messages.py
+++ b/filbertreach/schema/_generated_messages.py
@@ -560,6 +560,10 @@
     """
     Sequence of the last frame accepted from the receiver in that epoch.
     """
+    heard_seconds: float
+    """
+    Seconds since the sender last heard the receiver; -1 if it never did.
+    """
     messages: list[dict[str, Any]]
     """
     Messages, told apart by kind.
--- a/filbertreach/transport/_peer.py
+++ b/filbertreach/transport/_peer.py
@@ -68,6 +68,10 @@
         self.unacknowledged: collections.deque[SentFrame] = collections.deque()
         self.wake = anyio.Event()
         self.acknowledgement_due = False
+        self.was_acknowledged = False
+        """Whether this incarnation of the peer has accepted a frame."""
+        self.is_swallowed = False
+        """Whether the peer says that it no longer hears this process."""
 
     def accepts_incarnation(self, incarnation: int) -> bool:
         """Returns whether frames of the incarnation are still accepted."""
@@ -84,8 +88,22 @@
         self.incarnation = incarnation
         self.received_epoch = 0
         self.received_sequence = 0
+        self.was_acknowledged = False
         self.delay = DelayEstimator()
 
+    def has_forgotten(self, *, acknowledged_epoch: int) -> bool:
+        """Returns whether the peer lost the state of this link, without being restarted.
+
+        It forgets a process that it has not heard for long, for example one that was paused.
+
+        Args:
+            acknowledged_epoch: Epoch that the peer acknowledges, 0 for none.
+        """
+        if acknowledged_epoch:
+            self.was_acknowledged = True
+            return False
+        return self.was_acknowledged
+
     def accept(self, *, epoch: int, sequence: int) -> bool:
         """Decides whether a frame with messages is the next one in order.
 
@@ -124,6 +142,7 @@
         """
         self.epoch += 1
         self.sequence = 0
+        self.was_acknowledged = False
         self.unacknowledged.clear()
         self.waiting.clear()
 
--- a/filbertreach/transport/_transport.py
+++ b/filbertreach/transport/_transport.py
@@ -214,7 +214,14 @@
         if frame["receiver_incarnation"] != self.incarnation:
             # Meant for a predecessor. The next heartbeat tells the sender this incarnation.
             return
+        if peer.has_forgotten(acknowledged_epoch=frame["acknowledged_epoch"]):
+            # It would refuse every later frame of this epoch as out of order.
+            peer.give_up_unacknowledged()
+            self._events.on_peer_lost(peer)
         peer.acknowledge(epoch=frame["acknowledged_epoch"], sequence=frame["acknowledged_sequence"])
+        if frame["heard_seconds"] > _REPLACE_CONNECTION_SECONDS:
+            peer.is_swallowed = True
+            peer.notify()
         if not frame["messages"]:
             return
         peer.acknowledgement_due = True
@@ -257,6 +264,7 @@
     async def _serve_connection(self, peer: Peer, socket: pynng.Push0) -> None:
         """Sends over one connection until it has to be replaced or the peer is forgotten."""
         opened_at = self._clock.now()
+        peer.is_swallowed = False
         for sent in list(peer.unacknowledged):
             if sent.epoch == peer.epoch:
                 await self._send(peer, socket, sent)
@@ -277,6 +285,9 @@
             if peer.state is PeerState.SILENT and now - opened_at > SILENCE_SECONDS:
                 # A connection that swallows data hides that the peer is back.
                 return
+            if peer.is_swallowed and now - opened_at > _REPLACE_CONNECTION_SECONDS:
+                # The peer is heard but does not hear: only this direction is silent.
+                return
             oldest = peer.unacknowledged[0].sent_at if peer.unacknowledged else now
             if now - max(oldest, opened_at) > _REPLACE_CONNECTION_SECONDS:
                 return
@@ -304,6 +315,7 @@
             sent_at=sent.sent_at if sent else self._clock.now(),
             acknowledged_epoch=peer.received_epoch,
             acknowledged_sequence=peer.received_sequence,
+            heard_seconds=self._clock.now() - peer.last_heard if peer.incarnation else -1.0,
             messages=sent.messages if sent else [],
         )
         await socket.asend(self._encoder.encode(frame))
--- a/filbertreach/transport/tests/test_transport.py
+++ b/filbertreach/transport/tests/test_transport.py
@@ -160,6 +160,37 @@
     anyio.run(run)
 
 
+def test_one_swallowed_direction_is_noticed_although_nothing_waits():
+    async def run():
+        async with _pair() as (near, far, relay, near_events, _far_events):
+            near.keep({far.address})
+            far.keep({near.address})
+            await _until(lambda: far.is_reachable(near.address))
+            # Only near's outbox passes through the relay, and near has nothing to send.
+            before = relay.connections
+            relay.silence()
+            await _until(lambda: relay.connections > before)
+            await _until(lambda: far.is_reachable(near.address))
+            assert near_events.lost == []
+
+    anyio.run(run)
+
+
+def test_a_peer_that_forgot_the_link_gets_messages_again():
+    async def run():
+        async with _pair() as (near, far, _relay, near_events, far_events):
+            near.send(address=far.address, message={"kind": "test", "number": 0})
+            await _until(lambda: far_events.messages == [0])
+            await _until(lambda: not near.peer_by_address[far.address].unacknowledged)
+            # What _FORGET_SECONDS without a word from this side does, for example after a pause.
+            del far.peer_by_address[near.address]
+            await _until(lambda: near_events.lost == [far.address])
+            near.send(address=far.address, message={"kind": "test", "number": 1})
+            await _until(lambda: far_events.messages == [0, 1])
+
+    anyio.run(run)
+
+
 def test_delay_is_measured_against_the_fastest_recent_frame():
     estimator = DelayEstimator()
     cases = [(100.0, 5.0, 0.0), (101.0, 6.5, 0.5), (102.0, 6.9, 0.0), (103.0, 18.0, 10.1)]
