--- a/filbertreach_standins/faults/_injection.py
+++ b/filbertreach_standins/faults/_injection.py
@@ -1,8 +1,11 @@
 """The faults that a fault run picks from."""
 
+import datetime
+import json
 import random
 import re
 import signal
+import time
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -14,7 +17,6 @@
 _ROLL_WAIT_SECONDS = "40"
 _CTL_DONE = (0, 6)
 """Exit codes of filbertreach-ctl with which the document was accepted."""
-_ACCEPTED = re.compile(r"generation (\d+) of \S+ (?:was )?accepted")
 
 Undo = Callable[[], None]
 
@@ -175,16 +177,14 @@
     """
     path = scene.fleet.folder / "next.ini"
     path.write_text(text, encoding="utf-8")
-    done = scene.fleet.ctl(
-        "apply", str(path), "--reason", "fault run", "--wait", _ROLL_WAIT_SECONDS, check=False
-    )
-    found = _ACCEPTED.search(done.stdout + done.stderr)
-    if done.returncode not in _CTL_DONE or found is None:
+    options = ("--reason", "fault run", "--wait", _ROLL_WAIT_SECONDS, "--json")
+    done = scene.fleet.ctl("apply", str(path), *options, check=False)
+    if done.returncode not in _CTL_DONE:
         scene.record.faults.append(f"apply was refused with exit code {done.returncode}")
         return False
-    # The moment is later than the acceptance itself by the wait, which makes the check of
-    # guarantee 8 weaker by at most the time that `ctl` waited.
-    scene.record.acceptances.append(Acceptance(int(found.group(1)), scene.clock.now()))
+    outcome = json.loads(done.stdout)
+    since = time.time() - datetime.datetime.fromisoformat(outcome["accepted_at"]).timestamp()
+    scene.record.acceptances.append(Acceptance(outcome["generation"], scene.clock.now() - since))
     scene.fleet.document = text
     return True
 
