Act on closed connections, and refuse queries before the first document

Cause: a killed dispatch process was noticed by 2 s of silence only (full service after 2.37 s, design: 2 s or at once on a closed connection); a restarted entry process answered 11 queries with unknown-environment before it had a view. Change: a peer whose connection closed is silent after 0.75 s; an entry process without any document refuses as not run with 503.

--- a/filbertreach/entry/_application.py
+++ b/filbertreach/entry/_application.py
@@ -63,8 +63,13 @@
         outcome.request_id = body["request_id"]
         view = self._process.view
         environment = view.environment_by_name.get(body["environment"])
+        if not view.environment_by_name:
+            # Just started: whether the environment exists is not known yet.
+            raise ProblemError(
+                "refused-not-run", "this process has no document yet", retry_after_seconds=1.0
+            )
         if environment is None:
-            known = ", ".join(sorted(view.environment_by_name)) or "none yet"
+            known = ", ".join(sorted(view.environment_by_name))
             detail = f"no environment {body['environment']}; known: {known}"
             raise ProblemError("unknown-environment", detail)
         query = check_query(
--- a/filbertreach/transport/_peer.py
+++ b/filbertreach/transport/_peer.py
@@ -70,6 +70,8 @@
         self.acknowledgement_due = False
         self.was_acknowledged = False
         """Whether this incarnation of the peer has accepted a frame."""
+        self.is_connected = False
+        """Whether the outgoing connection is open, or is being opened for the first time."""
         self.is_swallowed = False
         """Whether the peer says that it no longer hears this process."""
 
--- a/filbertreach/transport/_transport.py
+++ b/filbertreach/transport/_transport.py
@@ -24,6 +24,9 @@
 """Longest time without a frame to a peer."""
 SILENCE_SECONDS = 2.0
 """A peer unheard for this long is silent."""
+_CLOSED_SILENCE_SECONDS = 0.75
+"""A peer that closed the connection and is unheard for this long is silent: the process has ended.
+More than one heartbeat, because a peer may replace its connections."""
 _REPLACE_CONNECTION_SECONDS = 1.2
 """A frame unacknowledged for this long means that the connection swallows data. More than two
 heartbeats, which carry the acknowledgement if nothing else does."""
@@ -255,6 +258,7 @@
                 reconnect_time_min=_RECONNECT_MIN_MS,
                 reconnect_time_max=_RECONNECT_MAX_MS,
             ) as socket:
+                _watch_connection(peer, socket)
                 socket.dial(f"tcp://{peer.address}", block=False)
                 try:
                     await self._serve_connection(peer, socket)
@@ -324,7 +328,9 @@
         if paused:
             # After a pause of this process the peers' frames wait unread in the inbox.
             peer.last_heard = now
-        if peer.state is not PeerState.SILENT and now - peer.last_heard > SILENCE_SECONDS:
+        ended = peer.state is PeerState.REACHABLE and not peer.is_connected
+        bound = _CLOSED_SILENCE_SECONDS if ended else SILENCE_SECONDS
+        if peer.state is not PeerState.SILENT and now - peer.last_heard > bound:
             peer.state = PeerState.SILENT
             peer.give_up_unacknowledged()
             self._events.on_peer_lost(peer)
@@ -336,3 +342,17 @@
             return False
         self.peer_by_address.pop(peer.address, None)
         return True
+
+
+def _watch_connection(peer: Peer, socket: pynng.Push0) -> None:
+    """Keeps `peer.is_connected` up to date; the callbacks run in a thread of NNG."""
+
+    def opened(_pipe: pynng.Pipe) -> None:
+        peer.is_connected = True
+
+    def closed(_pipe: pynng.Pipe) -> None:
+        peer.is_connected = False
+
+    peer.is_connected = True
+    socket.add_post_pipe_connect_cb(opened)
+    socket.add_post_pipe_remove_cb(closed)
--- a/filbertreach/transport/tests/test_transport.py
+++ b/filbertreach/transport/tests/test_transport.py
@@ -8,6 +8,7 @@
 
 from filbertreach.transport import Transport
 from filbertreach.transport._delay import DelayEstimator
+from filbertreach.transport._transport import SILENCE_SECONDS
 from filbertreach_standins.relay import Relay
 
 _WAIT_SECONDS = 30
@@ -197,3 +198,21 @@
     for sent_at, received_at, expected in cases:
         delay = estimator.delay_seconds(sent_at=sent_at, received_at=received_at)
         assert delay == pytest.approx(expected)
+
+
+def test_a_peer_that_ended_is_reported_before_the_silence_bound():
+    async def run():
+        events, other = _Events(), _Events()
+        near = Transport(name="n", address=_free_address(), incarnation=1, events=events)
+        async with near:
+            far = Transport(name="f", address=_free_address(), incarnation=2, events=other)
+            async with far:
+                near.keep({far.address})
+                await _until(lambda: near.is_reachable(far.address))
+            ended = anyio.current_time()
+            await _until(lambda: events.lost)
+            # The last heartbeat was sent up to 0.5 s before the end; the rest is the bound of a
+            # closed connection and one tick of 0.5 s.
+            assert anyio.current_time() - ended < SILENCE_SECONDS
+
+    anyio.run(run)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from filbertreach_standins.fleet import Fleet, FleetOptions
+from filbertreach_standins.fleet import DaemonProcess, Fleet, FleetOptions, free_address
 
 _WAIT_SECONDS = 30
 _SLOW_MS = 20_000
@@ -44,6 +44,14 @@
     return int(head.split()[1]), body
 
 
+_QUERY = {
+    "environment": "local",
+    "application": "counter",
+    "client": "hotel-azul",
+    "rank": "booking",
+    "deadline_ms": 2000,
+    "query": {},
+}
 _JSON = "content-type: application/json"
 _TRACE = "traceparent: 00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
 
@@ -121,3 +129,18 @@
     while not condition():
         assert time.monotonic() < until, "the condition did not come true"
         time.sleep(0.02)
+
+
+def test_an_entry_process_without_a_document_refuses_truthfully(tmp_path):
+    entry = DaemonProcess(
+        program="entry", name="alone", folder=tmp_path, settings={"view": {"agent": free_address()}}
+    )
+    entry.start()
+    try:
+        entry.wait_listening()
+        assert entry.get("/readyz")[0] == 503
+        body = {**_QUERY, "request_id": "early"}
+        status, problem = entry.query(body)
+    finally:
+        entry.stop()
+    assert (status, problem["type"].rsplit("/", 1)[1]) == (503, "refused-not-run")
