Send calls only to the incarnation that the view names

Change: a dispatch process is used only if its connection is open and the incarnation heard is at least the one in the view; the state of a connection belongs to its socket, so late callbacks of a replaced socket have no effect.

--- a/filbertreach/entry/_daemon.py
+++ b/filbertreach/entry/_daemon.py
@@ -385,7 +385,10 @@
         )
         for member in order:
             address = member["address"]
-            if address != exclude and self.transport.is_reachable(address):
+            incarnation = member["incarnation"]
+            if address == exclude:
+                continue
+            if self.transport.is_reachable(address, incarnation=incarnation):
                 return address
         return None
 
--- a/filbertreach/transport/_peer.py
+++ b/filbertreach/transport/_peer.py
@@ -38,6 +38,17 @@
     """Its messages, in order."""
 
 
+class ConnectionState:
+    """State of one outgoing connection; written by a thread of NNG, read by the event loop.
+
+    Each socket has a state of its own, so that a late callback of a replaced socket has no effect.
+    """
+
+    def __init__(self) -> None:
+        """Starts as open: the first attempt to connect is under way."""
+        self.is_open = True
+
+
 class Peer:
     """Link state of one peer; owned by the transport."""
 
@@ -70,8 +81,7 @@
         self.acknowledgement_due = False
         self.was_acknowledged = False
         """Whether this incarnation of the peer has accepted a frame."""
-        self.is_connected = False
-        """Whether the outgoing connection is open, or is being opened for the first time."""
+        self.connection = ConnectionState()
         self.is_swallowed = False
         """Whether the peer says that it no longer hears this process."""
 
--- a/filbertreach/transport/_transport.py
+++ b/filbertreach/transport/_transport.py
@@ -18,7 +18,7 @@
 from filbertreach.schema import Frame
 from filbertreach.timing import Clock, SystemClock
 from filbertreach.transport._errors import TransportError
-from filbertreach.transport._peer import Peer, PeerState, SentFrame
+from filbertreach.transport._peer import ConnectionState, Peer, PeerState, SentFrame
 
 HEARTBEAT_SECONDS = 0.5
 """Longest time without a frame to a peer."""
@@ -165,10 +165,24 @@
         for address in self._kept:
             self._peer(address)
 
-    def is_reachable(self, address: str) -> bool:
-        """Returns whether the peer was heard within the silence bound."""
+    def is_reachable(self, address: str, *, incarnation: int = 0) -> bool:
+        """Returns whether messages sent now are likely to arrive.
+
+        Args:
+            address: ip:port of the peer's inbox.
+            incarnation: Least incarnation that must have been heard. A message to a process that
+                was just restarted is lost if it is still addressed to its predecessor.
+
+        Returns:
+            Whether the peer was heard within the silence bound and its connection is open.
+        """
         peer = self.peer_by_address.get(address)
-        return peer is not None and peer.state is PeerState.REACHABLE
+        return (
+            peer is not None
+            and peer.state is PeerState.REACHABLE
+            and peer.connection.is_open
+            and peer.incarnation >= incarnation
+        )
 
     async def flush(self, *, seconds: float) -> bool:
         """Waits until every reachable peer has acknowledged everything.
@@ -258,7 +272,7 @@
                 reconnect_time_min=_RECONNECT_MIN_MS,
                 reconnect_time_max=_RECONNECT_MAX_MS,
             ) as socket:
-                _watch_connection(peer, socket)
+                peer.connection = _watch_connection(socket)
                 socket.dial(f"tcp://{peer.address}", block=False)
                 try:
                     await self._serve_connection(peer, socket)
@@ -328,7 +342,7 @@
         if paused:
             # After a pause of this process the peers' frames wait unread in the inbox.
             peer.last_heard = now
-        ended = peer.state is PeerState.REACHABLE and not peer.is_connected
+        ended = peer.state is PeerState.REACHABLE and not peer.connection.is_open
         bound = _CLOSED_SILENCE_SECONDS if ended else SILENCE_SECONDS
         if peer.state is not PeerState.SILENT and now - peer.last_heard > bound:
             peer.state = PeerState.SILENT
@@ -344,15 +358,16 @@
         return True
 
 
-def _watch_connection(peer: Peer, socket: pynng.Push0) -> None:
-    """Keeps `peer.is_connected` up to date; the callbacks run in a thread of NNG."""
+def _watch_connection(socket: pynng.Push0) -> ConnectionState:
+    """Returns the state of a socket's connection, kept up to date."""
+    state = ConnectionState()
 
     def opened(_pipe: pynng.Pipe) -> None:
-        peer.is_connected = True
+        state.is_open = True
 
     def closed(_pipe: pynng.Pipe) -> None:
-        peer.is_connected = False
+        state.is_open = False
 
-    peer.is_connected = True
     socket.add_post_pipe_connect_cb(opened)
     socket.add_post_pipe_remove_cb(closed)
+    return state
--- a/filbertreach/transport/tests/test_transport.py
+++ b/filbertreach/transport/tests/test_transport.py
@@ -192,6 +192,18 @@
     anyio.run(run)
 
 
+def test_a_restarted_process_is_not_reachable_before_it_was_heard():
+    async def run():
+        async with _pair() as (near, far, _relay, _near_events, _far_events):
+            near.keep({far.address})
+            await _until(lambda: near.is_reachable(far.address))
+            assert near.is_reachable(far.address, incarnation=far.incarnation)
+            # The view already names the next process at this address.
+            assert not near.is_reachable(far.address, incarnation=far.incarnation + 1)
+
+    anyio.run(run)
+
+
 def test_delay_is_measured_against_the_fastest_recent_frame():
     estimator = DelayEstimator()
     cases = [(100.0, 5.0, 0.0), (101.0, 6.5, 0.5), (102.0, 6.9, 0.0), (103.0, 18.0, 10.1)]
