--- a/filbertreach/agent/_agent.py
+++ b/filbertreach/agent/_agent.py
@@ -17,9 +17,9 @@
 from filbertreach.agent._metrics import GENERATION, HOSTS, LINKS, NEWS_AGE, USABLE
 from filbertreach.agent._registration import HostRegistration, RegistrationOptions
 from filbertreach.agent._roster import Roster
-from filbertreach.agent._values import HOSTS_PREFIX, HostRecord, InForce
 from filbertreach.observability import Health
 from filbertreach.platform import HostListClient, KeyValueClient
+from filbertreach.records import HOSTS_PREFIX, HostRecord, InForce
 from filbertreach.schema import AgentSection, HostState, Settings
 from filbertreach.timing import SystemClock, TimerService
 from filbertreach.transport import Peer, Received, Transport
--- a/filbertreach/agent/_call_board.py
+++ b/filbertreach/agent/_call_board.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from filbertreach.agent._values import ENVIRONMENTS_PREFIX
 from filbertreach.changes import CallRecord
 from filbertreach.platform import KeyValueListing, WatchBatch
+from filbertreach.records import ENVIRONMENTS_PREFIX
 from filbertreach.schema import CallBoardCopy, CallCopy
 
 _LOGGER = logging.getLogger(__name__)
--- a/filbertreach/agent/_feed.py
+++ b/filbertreach/agent/_feed.py
@@ -10,8 +10,9 @@
 
 from filbertreach.agent._call_board import CallBoard
 from filbertreach.agent._documents import DocumentBook
-from filbertreach.agent._values import ENVIRONMENTS_PREFIX, parse_document_value
+from filbertreach.agent._values import parse_document_value
 from filbertreach.platform import KeyValueClient, KeyValueListing, PlatformError
+from filbertreach.records import ENVIRONMENTS_PREFIX
 
 WATCH_SECONDS = 20.0
 """Time that a watch waits; a stalled one is replaced after it."""
--- a/filbertreach/agent/_registration.py
+++ b/filbertreach/agent/_registration.py
@@ -11,7 +11,7 @@
 import msgspec
 from returns.result import Success
 
-from filbertreach.agent._values import HOSTS_PREFIX, HostRecord, parse_host_record
+from filbertreach.agent._values import parse_host_record
 from filbertreach.platform import (
     ConflictError,
     KeyNotFoundError,
@@ -21,6 +21,7 @@
     PlatformError,
     RateLimitedError,
 )
+from filbertreach.records import HOSTS_PREFIX, HostRecord
 
 WRITES_PER_SECOND = 150
 """Writes that a change may cause in the whole fleet in a second; the service allows several
--- a/filbertreach/agent/_roster.py
+++ b/filbertreach/agent/_roster.py
@@ -7,7 +7,7 @@
 from returns.result import Success
 
 from filbertreach.agent._host_list import HostListBoard
-from filbertreach.agent._values import HOSTS_PREFIX, HostRecord, parse_host_record
+from filbertreach.agent._values import parse_host_record
 from filbertreach.membership import (
     FailureJudge,
     HostTable,
@@ -17,6 +17,7 @@
     suspecting_observers,
 )
 from filbertreach.platform import KeyValueListing
+from filbertreach.records import HOSTS_PREFIX, HostRecord
 from filbertreach.schema import Member
 from filbertreach.transport import Transport
 
--- a/filbertreach/agent/_values.py
+++ b/filbertreach/agent/_values.py
@@ -8,10 +8,7 @@
 from typing_extensions import TypedDict
 
 from filbertreach.agent._errors import ValueFormatError
-from filbertreach.schema import HeldChange, Member
-
-ENVIRONMENTS_PREFIX = "filbertreach/environments/"
-HOSTS_PREFIX = "filbertreach/hosts/"
+from filbertreach.records import ENVIRONMENTS_PREFIX, HostRecord
 
 
 class DocumentValue(TypedDict):
@@ -38,40 +35,6 @@
     """UTC time of acceptance; only in `/accepted`."""
 
 
-class InForce(TypedDict):
-    """Generation in force on a host."""
-
-    generation: int
-    """Generation that every live process of the host has reported."""
-    since: str
-    """UTC time at which the agent learned of the last of these reports."""
-
-
-class HostRecord(TypedDict):
-    """Value of `filbertreach/hosts/<host>`."""
-
-    host: str
-    """Host name."""
-    agent_address: str
-    """ip:port of the agent's inbox."""
-    incarnation: int
-    """Start of the agent that wrote the record."""
-    state: str
-    """starting, live or leaving."""
-    region: str
-    """Region of the host."""
-    data_centre: str
-    """Data centre of the host."""
-    prepared: dict[str, str]
-    """Digest of the proposed text that this host is ready to install, by environment."""
-    in_force: dict[str, InForce]
-    """Generation in force by environment."""
-    members: list[Member]
-    """Entry and dispatch processes of the host."""
-    held_changes: NotRequired[list[HeldChange]]
-    """Planned changes that are due and that a process of the host holds."""
-
-
 def digest_of(text: str) -> str:
     """Returns the SHA-256 of the text's UTF-8 bytes, in hexadecimal."""
     return hashlib.sha256(text.encode()).hexdigest()
--- a/filbertreach/ctl/__init__.py
+++ b/filbertreach/ctl/__init__.py
@@ -1,12 +1,11 @@
 """The operators' command line, and the signatures that its records carry."""
 
 from filbertreach.ctl._access import AccessError, Operator, read_keys, signature_is_valid
-from filbertreach.ctl._records import Accepted, HostRecord, Proposal
+from filbertreach.ctl._records import Accepted, Proposal
 
 __all__ = [
     "Accepted",
     "AccessError",
-    "HostRecord",
     "Operator",
     "Proposal",
     "read_keys",
--- a/filbertreach/ctl/_hosts.py
+++ b/filbertreach/ctl/_hosts.py
@@ -6,8 +6,9 @@
 import anyio
 
 from filbertreach.ctl._errors import UnavailableError
-from filbertreach.ctl._records import HOSTS_PREFIX, Accepted, HostRecord, InForce
+from filbertreach.ctl._records import Accepted
 from filbertreach.ctl._store import Store
+from filbertreach.records import HOSTS_PREFIX, HostRecord, InForce
 from filbertreach.timing import Clock
 
 
--- a/filbertreach/ctl/_records.py
+++ b/filbertreach/ctl/_records.py
@@ -4,10 +4,8 @@
 import hashlib
 import json
 from collections.abc import Mapping
-from typing import Any, NotRequired, TypedDict
+from typing import Any, TypedDict
 
-HOSTS_PREFIX = "filbertreach/hosts/"
-"""Prefix of the host records."""
 _TIME_FORMAT = "%Y-%m-%dT%H:%M:%SZ"
 
 
@@ -44,45 +42,6 @@
     """Hosts that had confirmed it."""
 
 
-class InForce(TypedDict):
-    """What a host serves of an environment."""
-
-    generation: int
-    """Generation."""
-    since: str
-    """When it was put in force, UTC."""
-
-
-class HeldChange(TypedDict):
-    """A planned change that is due and that a process of a host does not carry out."""
-
-    environment: str
-    """Environment name."""
-    change: str
-    """Change name."""
-    reason: str
-    """Why it is held."""
-
-
-class HostRecord(TypedDict):
-    """Written by the agent of a host."""
-
-    host: str
-    """Host name."""
-    state: NotRequired[str]
-    """State of the host, for example ready or leaving."""
-    region: NotRequired[str]
-    """Region."""
-    data_centre: NotRequired[str]
-    """Data centre."""
-    prepared: NotRequired[dict[str, str]]
-    """Digest of the prepared proposal, by environment."""
-    in_force: NotRequired[dict[str, InForce]]
-    """What it serves, by environment."""
-    held_changes: NotRequired[list[HeldChange]]
-    """Planned changes that it holds."""
-
-
 class TrialRecord(TypedDict):
     """A text was in force on every registered host of a trial environment."""
 
--- a/filbertreach/observability/__init__.py
+++ b/filbertreach/observability/__init__.py
@@ -19,6 +19,7 @@
 )
 from filbertreach.observability._logs import configure_logs, get_logger
 from filbertreach.observability._metrics import LATENCY_BUCKETS
+from filbertreach.observability._process import process_main
 from filbertreach.observability._traces import Span, Tracing, is_trace_parent
 
 __all__ = [
@@ -37,6 +38,7 @@
     "health_application",
     "is_trace_parent",
     "new_incarnation",
+    "process_main",
     "raise_open_files_limit",
     "respond",
     "run_daemon",
--- /dev/null
+++ b/filbertreach/observability/_process.py
@@ -0,0 +1,84 @@
+"""Command line of the daemons that serve queries."""
+
+import argparse
+import sys
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
+from typing import Protocol, TypeVar
+
+from filbertreach.observability._daemon import (
+    DaemonOptions,
+    new_incarnation,
+    run_daemon,
+    run_main,
+)
+from filbertreach.observability._health import Application, Health
+from filbertreach.observability._traces import Tracing
+from filbertreach.settings import add_settings_arguments, settings_or_exit
+from filbertreach.timing import TimerService
+
+
+class Process(Protocol):
+    """A daemon's work between start and stop."""
+
+    def stopping(self) -> None:
+        """Tells the fleet that this process leaves."""
+
+    async def drain(self, seconds: float) -> None:
+        """Ends the work in progress within the given time."""
+
+
+_ProcessT = TypeVar("_ProcessT", bound=Process)
+
+
+def process_main(
+    *,
+    program: str,
+    description: str,
+    make: Callable[..., AbstractAsyncContextManager[_ProcessT]],
+    application: Callable[[_ProcessT, Health], Application],
+) -> None:
+    """Parses the command line and runs a daemon until SIGTERM or SIGINT.
+
+    Args:
+        program: Program name.
+        description: What the program does.
+        make: Called with settings, timers, tracing, health and incarnation.
+        application: Makes the ASGI application of the entered process.
+
+    Raises:
+        SystemExit: Always, with the exit code.
+    """
+    parser = argparse.ArgumentParser(
+        prog=program,
+        description=description,
+        epilog="Exit codes: 0 stopped gracefully, 1 failed, 2 settings can't be used.",
+    )
+    add_settings_arguments(parser)
+    settings = settings_or_exit(parser.parse_args())
+
+    async def run() -> None:
+        health = Health()
+        name = settings["process"]["name"]
+        with Tracing(settings=settings["observability"], process=name) as tracing:
+            async with (
+                TimerService() as timers,
+                make(
+                    settings=settings,
+                    timers=timers,
+                    tracing=tracing,
+                    health=health,
+                    incarnation=new_incarnation(),
+                ) as process,
+            ):
+                await run_daemon(
+                    DaemonOptions(
+                        settings=settings,
+                        health=health,
+                        application=application(process, health),
+                        drain=process.drain,
+                        on_stopping=process.stopping,
+                    )
+                )
+
+    sys.exit(run_main(run, settings=settings))
--- a/tools/measure_control.py
+++ b/tools/measure_control.py
@@ -14,7 +14,8 @@
 import anyio.to_thread
 from returns.result import Success
 
-from filbertreach.agent import ENVIRONMENTS_PREFIX, digest_of
+from filbertreach.agent import digest_of
+from filbertreach.records import ENVIRONMENTS_PREFIX
 from filbertreach_standins.agent_fleet import AgentFleet, HostProcess
 
 _SETTLE_SECONDS = 8.0
