--- a/filbertreach/dispatch/_service.py
+++ b/filbertreach/dispatch/_service.py
@@ -10,13 +10,9 @@
 import httpcore
 
 from filbertreach.dispatch._errors import (
-    InvalidResponseError,
-    LeafCancelledError,
     LeafError,
-    LeafRefusedError,
     LeafReport,
     LeafTimeoutError,
-    LeafUnreachableError,
     VersionUnavailableError,
 )
 from filbertreach.dispatch._exchange import SearchBody, search
@@ -34,6 +30,12 @@
 from filbertreach.dispatch._pending import Attempt, AttemptKind, PendingCall
 from filbertreach.dispatch._queue import QueuedCall, make_queue
 from filbertreach.dispatch._replicas import make_replica_policy
+from filbertreach.dispatch._results import (
+    make_answer,
+    make_failure,
+    outcome_of,
+    reason_of,
+)
 from filbertreach.dispatch._slowdown_meter import SlowdownMeter
 from filbertreach.document import Environment, Service
 from filbertreach.observability import Tracing
@@ -526,27 +528,12 @@
         now = self._clock.now()
         assert pending.first_sent_at is not None
         self._delay.record(now - pending.first_sent_at, now)
-        call = pending.call
-        self._finish(
-            pending,
-            Answer(
-                kind="answer",
-                call_id=call["call_id"],
-                query_id=call["query_id"],
-                shard=call["shard"],
-                version=call["version"],
-                rows=body["rows"],
-                leaf=attempt.tracker.leaf.id,
-                queue_ms=1000.0 * (pending.first_sent_at - pending.received_at),
-                leaf_ms=1000.0 * seconds,
-                attempts=pending.attempts,
-            ),
-        )
+        self._finish(pending, make_answer(attempt, body, seconds=seconds))
 
     def _failed(self, attempt: Attempt, error: LeafError) -> None:
         pending = attempt.pending
         pending.may_have_started |= error.started
-        self._ended(attempt, _outcome(error))
+        self._ended(attempt, outcome_of(error))
         now = self._clock.now()
         link = self._link_by_leaf.get(attempt.tracker.leaf.id)
         if isinstance(error, VersionUnavailableError) and link is not None:
@@ -554,7 +541,7 @@
         if isinstance(error, LeafTimeoutError):
             self._fail(pending, "deadline")
             return
-        pending.last_reason = _reason(error)
+        pending.last_reason = reason_of(error)
         self._retry_or_fail(pending, refused=not error.started)
 
     def _unanswered(self, attempt: Attempt) -> None:
@@ -595,21 +582,9 @@
     def _fail(self, pending: PendingCall, reason: str) -> None:
         if pending.done:
             return
-        call = pending.call
-        started = pending.may_have_started or bool(pending.attempt_by_id)
-        self._finish(
-            pending,
-            Failure(
-                kind="failure",
-                call_id=call["call_id"],
-                query_id=call["query_id"],
-                shard=call["shard"],
-                reason=reason,  # type: ignore[typeddict-item]
-                started="unknown" if started else "no",
-                retry_after_ms=self._retry_after_ms(call["rank"]) if reason == "overloaded" else 0,
-                attempts=pending.attempts,
-            ),
-        )
+        rank = pending.call["rank"]
+        retry_after_ms = self._retry_after_ms(rank) if reason == "overloaded" else 0.0
+        self._finish(pending, make_failure(pending, reason, retry_after_ms=retry_after_ms))
 
     def _retry_after_ms(self, rank: str) -> float:
         return 1000.0 * min(10.0, self._queue.estimate_wait_seconds(rank, self._throughput()))
@@ -639,25 +614,3 @@
         link = self._link_by_leaf.get(attempt.tracker.leaf.id)
         if link is not None:
             link.cancel(attempt)
-
-
-def _outcome(error: LeafError) -> LeafOutcome:
-    if isinstance(error, LeafUnreachableError):
-        return LeafOutcome.CONNECTION_LOST
-    if isinstance(error, LeafCancelledError):
-        return LeafOutcome.CANCELLED
-    if isinstance(error, LeafTimeoutError):
-        return LeafOutcome.TIMEOUT
-    if isinstance(error, LeafRefusedError) and not error.started:
-        return LeafOutcome.REFUSED
-    return LeafOutcome.ERROR
-
-
-def _reason(error: LeafError) -> str:
-    if isinstance(error, VersionUnavailableError):
-        return "version_unavailable"
-    if isinstance(error, InvalidResponseError):
-        return "invalid_response"
-    if isinstance(error, LeafRefusedError):
-        return "overloaded"
-    return "leaf_failed"
