Let the interrupt test run where SIGINT is ignored

Cause: make test as a background job of a shell starts with SIGINT ignored; the command under test inherited that, never saw the interrupt, waited for its hosts and ended with exit code 1 instead of 5. Seen in a fresh clone; repeated with trap '' INT. Ruled out: the load of a fault run beside it, a fault in ctl. Change: the test starts the command with the default disposition of SIGINT. No assertion was changed. Conclusion: the verdict no longer depends on how the test run was started.

--- a/filbertreach/ctl/tests/test_command.py
+++ b/filbertreach/ctl/tests/test_command.py
@@ -55,6 +55,10 @@
 _OTHER = _TEXT.replace("target_ms = 90", "target_ms = 80")
 
 
+def _accept_interrupts():
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
+
+
 class _Rig:
     """The key-value stand-in, settings of two operators, and a thread that plays the agents."""
 
@@ -94,6 +98,8 @@
             stdout=subprocess.PIPE,
             stderr=subprocess.PIPE,
             text=True,
+            # A shell starts background jobs with SIGINT ignored, and children inherit that.
+            preexec_fn=_accept_interrupts,
         )
 
     def end(self, process):
