Remove state that nothing reads

Cause: a read of the whole change found Peer.acknowledgement_due, written in three places and read nowhere, and an assignment to last_reason just before the call is failed with the same reason. Change: five lines removed; behaviour is unchanged.

--- a/filbertreach/dispatch/_service.py
+++ b/filbertreach/dispatch/_service.py
@@ -386,7 +386,6 @@
         rank = pending.call["rank"]
         QUEUE_SECONDS.labels(self.environment.name, rank).observe(now - pending.received_at)
         if not self._may_be_served(pending, now):
-            pending.last_reason = "version_unavailable"
             self._fail(pending, "version_unavailable")
             return
         link = self._choose_for(pending, now)
--- a/filbertreach/transport/_peer.py
+++ b/filbertreach/transport/_peer.py
@@ -78,7 +78,6 @@
         self.waiting: list[dict[str, Any]] = []
         self.unacknowledged: collections.deque[SentFrame] = collections.deque()
         self.wake = anyio.Event()
-        self.acknowledgement_due = False
         self.was_acknowledged = False
         """Whether this incarnation of the peer has accepted a frame."""
         self.connection = ConnectionState()
--- a/filbertreach/transport/_transport.py
+++ b/filbertreach/transport/_transport.py
@@ -241,7 +241,6 @@
             peer.notify()
         if not frame["messages"]:
             return
-        peer.acknowledgement_due = True
         if not peer.accept(epoch=frame["epoch"], sequence=frame["sequence"]):
             return
         delay = peer.delay.delay_seconds(sent_at=frame["sent_at"], received_at=self._clock.now())
@@ -261,7 +260,6 @@
         if was_known:
             peer.give_up_unacknowledged()
             self._events.on_peer_lost(peer)
-        peer.acknowledgement_due = True
         peer.notify()
 
     async def _run_outbox(self, peer: Peer) -> None:
@@ -322,7 +320,6 @@
             await self._send(peer, socket, sent)
 
     async def _send(self, peer: Peer, socket: pynng.Push0, sent: SentFrame | None) -> None:
-        peer.acknowledgement_due = False
         frame = Frame(
             sender=self.name,
             address=self.address,
