Survive a SIGHUP while the gateway starts

Cause: the handler is set after half a second of imports and listeners, and the default action of SIGHUP ends a process.

The program ignores SIGHUP before it imports anything heavy; the command line moves to _command.

What is left are the first milliseconds, in which Python itself starts.

Test: test_a_hangup_does_not_end_a_process_that_starts failed on the code before (the signal was never ignored; 1 failed in 31 s) and passes now. test_start and test_deploy name the module that holds what they look at; same assertions.

--- a/filbertreach/gateway/tests/test_command.py
+++ b/filbertreach/gateway/tests/test_command.py
@@ -88,6 +88,36 @@
     assert "settings reloaded" in output
 
 
+def _ignores_hangup(process: subprocess.Popen[str]) -> bool:
+    status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    ignored = next(line for line in status.splitlines() if line.startswith("SigIgn:"))
+    return bool(int(ignored.split()[1], 16) >> (signal.SIGHUP - 1) & 1)
+
+
+def test_a_hangup_does_not_end_a_process_that_starts(tmp_path: pathlib.Path) -> None:
+    # A SIGHUP in the first half second, before the handler was set, ended the process.
+    settings = tmp_path / "boot.toml"
+    _, ready = _write(settings)
+    process = _run(settings)
+    try:
+        deadline = time.monotonic() + 30.0
+        while not _ignores_hangup(process):
+            assert time.monotonic() < deadline and process.poll() is None
+            time.sleep(0.001)
+        listening = False
+        while not listening:
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.005)
+            assert process.poll() is None and time.monotonic() < deadline
+            with socket.socket() as probe:
+                listening = probe.connect_ex(("127.0.0.1", ready)) == 0
+        process.send_signal(signal.SIGTERM)
+        output, _ = process.communicate(timeout=30)
+    finally:
+        process.kill()
+    assert process.returncode == 0, output
+
+
 def test_a_changed_file_is_read_again_without_a_signal(tmp_path: pathlib.Path) -> None:
     # Guards against limits that stay in force although the platform has changed them.
     settings = tmp_path / "boot.toml"
--- a/filbertreach/gateway/tests/test_start.py
+++ b/filbertreach/gateway/tests/test_start.py
@@ -9,6 +9,6 @@
 @pytest.mark.parametrize("module", ["opentelemetry", "pynng", "jsonschema"])
 def test_the_start_loads_no_library_that_the_gateway_does_not_use(module: str) -> None:
     # Guards against a slow start: after a loss of power no host serves until the imports are done.
-    program = f"import sys, filbertreach.gateway.__main__; sys.exit({module!r} in sys.modules)"
+    program = f"import sys, filbertreach.gateway._command; sys.exit({module!r} in sys.modules)"
     result = subprocess.run([sys.executable, "-c", program], check=False)
     assert result.returncode == 0
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -4,7 +4,7 @@
 import re
 import tomllib
 
-from filbertreach.gateway import __main__ as gateway_command
+from filbertreach.gateway import _command as gateway_command
 
 _ROOT = pathlib.Path(__file__).parent.parent
 
