Hedge by the median of attempts when many leaves are slow

When a sixth of the leaves is slow, the 95th percentile of attempts is beyond the target, so the hedge went out at 0.6 of it, and a far leaf with a new connection (54 ms before it works) came too late.

The wait is now 1.5 medians of attempts, which slow leaves hardly move, or as late as four of five second leaves still answer, if that is later. Second leaves have a sample of their own. HedgeDelay is no longer used by the gateway.

--- a/filbertreach/gateway/_directory.py
+++ b/filbertreach/gateway/_directory.py
@@ -5,10 +5,11 @@
 
 from returns.result import Failure, Success
 
-from filbertreach.decisions import HedgeDelay, LatencyTracker, ShardLatency
+from filbertreach.decisions import ShardLatency
 from filbertreach.document import Route, RouteTable
 from filbertreach.gateway._metrics import ROUTES_VERSION
 from filbertreach.gateway._retry_budget import BudgetSettings
+from filbertreach.gateway._route_latencies import RouteLatencies
 from filbertreach.gateway._service_pool import Location, ServicePool, Spawn
 from filbertreach.observability import get_logger
 from filbertreach.platform import (
@@ -22,9 +23,6 @@
 )
 from filbertreach.timing import Clock
 
-_HEDGE_QUANTILE = 0.9
-"""Quantile of latency after which a hedge is sent."""
-
 _LOGGER = get_logger(__name__)
 
 
@@ -33,9 +31,7 @@
 
     def __init__(self) -> None:
         """Starts without samples."""
-        self.delay = HedgeDelay(quantile=_HEDGE_QUANTILE)
-        self.attempts = LatencyTracker()
-        """Time of single attempts that were answered."""
+        self.latencies = RouteLatencies()
         self.latency = ShardLatency()
 
 
--- a/filbertreach/gateway/_query.py
+++ b/filbertreach/gateway/_query.py
@@ -5,14 +5,9 @@
 
 import anyio
 
-from filbertreach.decisions import (
-    HedgeDelay,
-    LatencyTracker,
-    ObjectiveWait,
-    ShardLatency,
-    WaitSettings,
-)
+from filbertreach.decisions import ObjectiveWait, ShardLatency, WaitSettings
 from filbertreach.document import Route
+from filbertreach.gateway._route_latencies import RouteLatencies
 from filbertreach.gateway._service_call import CallContext, CallEnd, ServiceCall
 from filbertreach.gateway._service_pool import ServicePool
 from filbertreach.platform import (
@@ -58,8 +53,7 @@
         request: CallerRequest,
         route: Route,
         pools: list[ServicePool],
-        delay: HedgeDelay,
-        attempts: LatencyTracker,
+        latencies: RouteLatencies,
         latency: ShardLatency,
         clock: Clock,
         arrived_at: float,
@@ -70,8 +64,7 @@
             request: Request of the caller.
             route: Its route; its version of the configuration is kept for the whole query.
             pools: A pool for each shard, or the one of the service that answers.
-            delay: Latencies of the route, from the first send to the answer.
-            attempts: Latencies of the route's single attempts.
+            latencies: Latencies of the route's attempts.
             latency: Late shards of the route.
             clock: Source of time.
             arrived_at: Clock when the request arrived, in seconds.
@@ -90,8 +83,7 @@
             deadline_at=self.deadline_at,
             target_at=arrived_at + target_seconds,
             clock=clock,
-            delay=delay,
-            attempts=attempts,
+            latencies=latencies,
             changed=self._on_change,
         )
         self.calls = tuple(ServiceCall(pool=pool, context=context) for pool in pools)
--- a/filbertreach/gateway/_service_call.py
+++ b/filbertreach/gateway/_service_call.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from filbertreach.decisions import HedgeDelay, LatencyTracker, LeafOutcome, may_hedge
+from filbertreach.decisions import LeafOutcome, may_hedge
 from filbertreach.document import Route
 from filbertreach.gateway._exchange import Exchange, FaultKind, LeafFault
 from filbertreach.gateway._leaf_connection import LeafConnection
@@ -15,6 +15,7 @@
     LEAF_OUTCOMES,
     LEAF_SECONDS,
 )
+from filbertreach.gateway._route_latencies import RouteLatencies
 from filbertreach.gateway._service_pool import LeafHandle, ServicePool
 from filbertreach.platform import CallerRequest, LeafAnswer, encode_leaf_request
 from filbertreach.timing import Clock
@@ -25,12 +26,6 @@
 """Connections that may fail to open before a request is given up."""
 _LINGER_SECONDS = 0.3
 """Time in which a leaf may still answer a request that nobody waits for; a pause is shorter."""
-_FIRST_HEDGE_SHARE = 0.3
-"""Share of the time to the target after which a hedge is sent while latencies are not known."""
-_LATEST_HEDGE_SHARE = 0.6
-"""Share of the time to the target after which a hedge would come too late for most leaves."""
-_HEDGE_NEEDS_QUANTILE = 0.95
-"""Quantile of the latency of attempts that is kept back for the hedge to answer in."""
 
 
 class CallEnd(enum.Enum):
@@ -59,10 +54,8 @@
     """Clock at which an answer is worth most for the last time, in seconds."""
     clock: Clock
     """Source of time."""
-    delay: HedgeDelay
-    """Latencies of the route, from the first send to the answer."""
-    attempts: LatencyTracker
-    """Latencies of the route's single attempts."""
+    latencies: RouteLatencies
+    """Latencies of the route."""
     changed: Callable[[], None]
     """Called when a call has news."""
 
@@ -100,7 +93,7 @@
         """Why attempts ended without an answer."""
         self._context = context
         self._running: dict[Exchange, _Attempt] = {}
-        self._first_sent_at: float | None = None
+        self._first_sent_at = math.inf
         self._may_have_run = False
         self._unreachable = 0
         self._avoid: set[str] = set()
@@ -201,28 +194,14 @@
             started_at=now,
         )
         self.leaves.append(handle.leaf.id)
-        if self._first_sent_at is None:
-            self._first_sent_at = now
-            context.delay.first_call()
-        self.next_at = now + self._hedge_seconds(now) if context.route.idempotent else math.inf
+        self._first_sent_at = min(self._first_sent_at, now)
+        self.next_at = math.inf
+        if context.route.idempotent:
+            self.next_at = now + context.latencies.hedge_seconds(context.target_at - now)
         connection = await self.pool.send(handle, exchange)
         if not exchange.ended:
             self._running[exchange] = _Attempt(handle, exchange, connection)
 
-    def _hedge_seconds(self, now: float) -> float:
-        """Returns how long to wait for the attempt that is sent now.
-
-        An answer is worth the same at any time before the target, so a hedge is sent when a second
-        leaf most likely still answers in time; by then many pauses have ended by themselves.
-        """
-        context = self._context
-        learned = context.delay.seconds(len(self.leaves))
-        needed = context.attempts.quantile(_HEDGE_NEEDS_QUANTILE)
-        left = context.target_at - now
-        if learned is None or needed is None:
-            return _FIRST_HEDGE_SHARE * max(left, 0.0)
-        return max(min(learned, _LATEST_HEDGE_SHARE * left), left - needed)
-
     # Results, reported by the tasks of connections.
 
     def _on_end(self, exchange: Exchange, result: LeafAnswer | LeafFault) -> None:
@@ -273,12 +252,12 @@
             self.faults.append("refused")
             return LeafOutcome.REFUSED
         if answer.is_success:
-            context.attempts.record(now - exchange.started_at, now)
-            LEAF_SECONDS.observe(now - exchange.started_at)
+            seconds = now - exchange.started_at
+            context.latencies.record(seconds, now, extra=exchange.started_at > self._first_sent_at)
+            LEAF_SECONDS.observe(seconds)
             if not self.done:
                 self.answer = answer
                 self.end = CallEnd.ANSWERED
-                self._learn(now)
                 self._abandon_others()
                 context.changed()
             return LeafOutcome.OK
@@ -300,10 +279,6 @@
             return LeafOutcome.OK
         return LeafOutcome.ERROR
 
-    def _learn(self, now: float) -> None:
-        assert self._first_sent_at is not None
-        self._context.delay.record(now - self._first_sent_at, now)
-
     def _fail(self) -> None:
         self.end = CallEnd.FAILED if self._may_have_run else CallEnd.NOT_RUN
 
--- a/filbertreach/gateway/tests/test_query.py
+++ b/filbertreach/gateway/tests/test_query.py
@@ -8,10 +8,11 @@
 import anyio.abc
 import pytest
 
-from filbertreach.decisions import HedgeDelay, LatencyTracker, ShardLatency
+from filbertreach.decisions import ShardLatency
 from filbertreach.document import Leaf, Route
 from filbertreach.gateway._query import Query, QueryResult
 from filbertreach.gateway._retry_budget import BudgetSettings
+from filbertreach.gateway._route_latencies import RouteLatencies
 from filbertreach.gateway._service_pool import Location, ServicePool
 from filbertreach.platform import Bounds, LeafEntry, read_request_head
 from filbertreach.timing import SystemClock
@@ -150,8 +151,7 @@
         ),
         route=route,
         pools=fleet.pools,
-        delay=HedgeDelay(quantile=0.9),
-        attempts=LatencyTracker(),
+        latencies=RouteLatencies(),
         latency=ShardLatency(),
         clock=clock,
         arrived_at=clock.now(),
