--- a/filbertreach/decisions/_leaf.py
+++ b/filbertreach/decisions/_leaf.py
@@ -75,7 +75,6 @@
         pool: Pool,
         smoothing: float = _SMOOTHING,
         stuck_factor: float = _STUCK_FACTOR,
-        forget_seconds: float = _FORGET_SECONDS,
     ) -> None:
         """Creates the tracker of a leaf that nothing is known about.
 
@@ -86,11 +85,9 @@
                 a few of the leaf's calls.
             stuck_factor: A call in flight for this many mean latencies is evidence about its leaf
                 before it ends.
-            forget_seconds: Time after which the latency of a leaf without calls is not believed.
         """
         self._smoothing = smoothing
         self._stuck_factor = stuck_factor
-        self._forget_seconds = forget_seconds
         self.leaf = leaf
         self.pool = pool
         self.limit = ConcurrencyLimit(pool=pool)
@@ -109,8 +106,6 @@
         self._backoff = 0.0
         self._probe_at = -math.inf
         self._last_started_at = -math.inf
-        self._last_seen_at = -math.inf
-        """When a call was last sent from here, or heard of."""
         self._learned_at = -math.inf
         self._reported_others = 0
         self._reported_at = -math.inf
@@ -161,7 +156,7 @@
             now: Seconds of the dispatch clock.
         """
         bisect.insort(self._started_at, now)
-        self._last_started_at = self._last_seen_at = now
+        self._last_started_at = now
 
     def finished(self, outcome: LeafOutcome, latency_seconds: float, now: float) -> None:
         """Records that a call ended.
@@ -173,32 +168,16 @@
         """
         in_flight = self.in_flight
         self._remove_start(now - latency_seconds)
-        self._learn(outcome, latency_seconds, now)
-        if outcome is LeafOutcome.OK:
-            self.limit.succeeded(latency_seconds, in_flight, now)
-        elif outcome is LeafOutcome.REFUSED:
-            self.limit.refused(now)
-
-    def heard(self, outcome: LeafOutcome, latency_seconds: float, now: float) -> None:
-        """Learns from a call that a sender near this one made.
-
-        Args:
-            outcome: How it ended.
-            latency_seconds: Time since it was sent.
-            now: Seconds of the dispatch clock.
-        """
-        self._last_seen_at = now
-        self._learn(outcome, latency_seconds, now)
-
-    def _learn(self, outcome: LeafOutcome, latency_seconds: float, now: float) -> None:
         if outcome is LeafOutcome.OK:
             self._succeeded()
             self._learn_latency(latency_seconds, now)
             if self._answered_mean == math.inf:
                 self._answered_mean = latency_seconds
             self._answered_mean += _SMOOTHING * (latency_seconds - self._answered_mean)
+            self.limit.succeeded(latency_seconds, in_flight, now)
         elif outcome is LeafOutcome.REFUSED:
             self._learn_failure(1.0)
+            self.limit.refused(now)
             self._failed(now, _WEAK_STRIKES)
         elif outcome is LeafOutcome.TIMEOUT and self._is_short(latency_seconds):
             self._learn_at_least(latency_seconds, now)
@@ -287,7 +266,7 @@
         """Weight of what was seen; it falls with idle time, so that a bad leaf is tried again."""
         if self._started_at:
             return 1.0
-        return math.exp(-max(0.0, now - self._last_seen_at) / self._forget_seconds)
+        return math.exp(-max(0.0, now - self._last_started_at) / _FORGET_SECONDS)
 
     def _others(self, now: float) -> float:
         """Calls of other senders, from a fresh report; capped, as a report may be wrong."""
@@ -314,7 +293,7 @@
             self._mean = seconds
             return
         # After a pause the old mean says little, so one sample nearly replaces it.
-        weight = max(self._smoothing, 1.0 - math.exp(-since / self._forget_seconds))
+        weight = max(self._smoothing, 1.0 - math.exp(-since / _FORGET_SECONDS))
         sample = min(seconds, self._mean * _RISE_FACTOR)
         self._mean += weight * (sample - self._mean)
 
--- a/filbertreach/gateway/_directory.py
+++ b/filbertreach/gateway/_directory.py
@@ -5,9 +5,8 @@
 
 from returns.result import Failure, Success
 
-from filbertreach.decisions import LeafOutcome, ShardLatency
+from filbertreach.decisions import ShardLatency
 from filbertreach.document import Route, RouteTable
-from filbertreach.gateway._leaf_samples import CallObserver
 from filbertreach.gateway._metrics import ROUTES_VERSION
 from filbertreach.gateway._retry_budget import BudgetSettings
 from filbertreach.gateway._route_latencies import RouteLatencies
@@ -49,7 +48,6 @@
         drain_seconds: float,
         spawn: Spawn,
         on_change: Callable[[], None],
-        observer: CallObserver | None = None,
     ) -> None:
         """Creates an empty directory.
 
@@ -61,7 +59,6 @@
             drain_seconds: Time after which a leaving leaf must get nothing new.
             spawn: Runs a coroutine function as a task.
             on_change: Called when routes or leaves have changed.
-            observer: Takes what the calls of this host show.
         """
         self.table: RouteTable | None = None
         """Routes in force; a version never goes back."""
@@ -75,7 +72,6 @@
         self._drain_seconds = drain_seconds
         self._spawn = spawn
         self._on_change = on_change
-        self._observer = observer
         self._hosts = 1
         self._service_by_leaf: dict[str, str] = {}
         self._state_by_route: dict[str, RouteState] = {}
@@ -173,7 +169,6 @@
                 drain_seconds=self._drain_seconds,
                 clock=self._clock,
                 spawn=self._spawn,
-                observer=self._observer,
             )
             pool.set_hosts(self._hosts)
             self.pool_by_service[service] = pool
@@ -226,21 +221,6 @@
             self.pool(service).unlist_leaf(leaf_id, since=since)
             _LOGGER.info("leaf unlisted", leaf=leaf_id, service=service, reason=reason)
 
-    # What calls of other hosts of the data centre show; see `CallObserver`.
-
-    def on_call_end(self, leaf_id: str, outcome: LeafOutcome, seconds: float) -> None:
-        """Takes the end of a call; unknown leaves are ignored."""
-        service = self._service_by_leaf.get(leaf_id)
-        handle = self.pool(service).handle_by_id.get(leaf_id) if service is not None else None
-        if handle is not None:
-            handle.tracker.heard(outcome, seconds, self._clock.now())
-
-    def on_slack(self, service: str, count: int = 1) -> None:
-        """Takes extra calls beyond the retry ratio; unknown services are ignored."""
-        pool = self.pool_by_service.get(service)
-        if pool is not None:
-            pool.budget.heard_slack(count, self._clock.now())
-
     def count_leaves(self) -> int:
         """Returns how many leaves are listed and not leaving."""
         return len(self._service_by_leaf)
--- a/filbertreach/gateway/_metrics.py
+++ b/filbertreach/gateway/_metrics.py
@@ -57,11 +57,6 @@
     "Exchanges with the neighbour that reads the store",
     ["outcome"],
 )
-SAMPLES = prometheus_client.Counter(
-    "filbertreach_gateway_samples",
-    "Calls to leaves that neighbours were told of, that they told of, or that were left out",
-    ["kind"],
-)
 FLEET_SIZE = prometheus_client.Gauge(
     "filbertreach_gateway_fleet_size", "Hosts that this host knows of, itself included"
 )
--- a/filbertreach/gateway/_neighbour_application.py
+++ b/filbertreach/gateway/_neighbour_application.py
@@ -22,10 +22,10 @@
 
     async def answer(path: str, query: dict[str, str]) -> object:
         if path == HOSTS_PATH:
-            known_digest = query.pop("digest")
-            return neighbours.introduced(
-                msgspec.convert(query, KnownHost), known_digest=known_digest
+            host = KnownHost(
+                name=query["name"], address=query["address"], data_centre=query["data_centre"]
             )
+            return neighbours.introduced(host, known_digest=query["digest"])
         wait_seconds = min(_MOST_WAIT_SECONDS, int(query["wait_ms"]) / 1000.0)
         return await news.since(int(query["after"]), wait_seconds=wait_seconds)
 
@@ -39,7 +39,7 @@
         try:
             query = dict(urllib.parse.parse_qsl(scope["query_string"].decode("ascii")))
             body = compress(msgspec.json.encode(await answer(path, {"digest": "", **query})))
-        except (KeyError, ValueError, msgspec.ValidationError) as error:
+        except (KeyError, ValueError) as error:
             detail = msgspec.json.encode({"title": f"unusable query: {error!r}"})
             await respond(send, 400, detail, "application/problem+json")
             return
--- a/filbertreach/gateway/_neighbours.py
+++ b/filbertreach/gateway/_neighbours.py
@@ -5,7 +5,6 @@
 import random
 import urllib.parse
 import zlib
-from collections.abc import Mapping
 from types import TracebackType
 from typing import NamedTuple, Self
 
@@ -28,8 +27,6 @@
 """Wait before the first introduction, in which seeds start too."""
 _SECOND_SECONDS = 2.0
 """Wait before the second one, by which all hosts have introduced themselves once."""
-_SETTLED_SECONDS = 4.0
-"""Time from the start by which hosts that start together have heard of each other."""
 _INTERVAL_SECONDS = 5.0
 """Time between further introductions, each to one seed: bytes between regions are dear."""
 _AVOID_SECONDS = 6.0
@@ -65,14 +62,7 @@
     """
 
     def __init__(
-        self,
-        *,
-        host: str,
-        address: str,
-        data_centre: str,
-        seeds: tuple[str, ...],
-        clock: Clock,
-        datagram_address: str | None = None,
+        self, *, host: str, address: str, data_centre: str, seeds: tuple[str, ...], clock: Clock
     ) -> None:
         """Starts without neighbours.
 
@@ -82,14 +72,10 @@
             data_centre: Data centre of this host.
             seeds: ip:port of a few hosts; some may not answer.
             clock: Source of time.
-            datagram_address: ip:port for datagrams of neighbours, None if this host takes none.
         """
         self._own = KnownHost(name=host, address=address, data_centre=data_centre)
-        if datagram_address is not None:
-            self._own["datagram_address"] = datagram_address
         self._seeds = [seed for seed in seeds if seed != address]
         self._clock = clock
-        self._started_at = clock.now()
         self._heard_by_name: dict[str, _Heard] = {}
         self._told_by_seed: dict[str, _Told] = {}
         self._avoided_until: dict[str, float] = {}
@@ -140,15 +126,6 @@
         told = [t.total for t in self._told_by_seed.values() if now - t.at < _HOLD_SECONDS]
         return max([len(self._lately(now)), *told])
 
-    @property
-    def is_settled(self) -> bool:
-        """Whether the hosts of the data centre know each other, as far as this host can tell."""
-        now = self._clock.now()
-        if now - self._started_at < _SETTLED_SECONDS:
-            return False
-        told = any(now - told.at < _HOLD_SECONDS for told in self._told_by_seed.values())
-        return told or len(self._lately(now)) > 1
-
     def _lately(self, now: float) -> list[KnownHost]:
         for name, heard in list(self._heard_by_name.items()):
             if now - heard.at >= _HOLD_SECONDS or name == self._own["name"]:
@@ -156,25 +133,14 @@
         hosts = [self._own, *(heard.host for heard in self._heard_by_name.values())]
         return sorted(hosts, key=lambda host: host["name"])
 
-    def _near(self, now: float) -> list[KnownHost]:
-        own = self._own["data_centre"]
-        return [host for host in self._lately(now) if host["data_centre"] == own]
-
-    def datagram_addresses(self) -> list[str]:
-        """Returns ip:port of the other hosts of the data centre that take datagrams."""
-        own = self._own["name"]
-        near = [host for host in self._near(self._clock.now()) if host["name"] != own]
-        return [host["datagram_address"] for host in near if "datagram_address" in host]
-
     def reader(self) -> KnownHost | None:
         """Returns the host that reads the store for this one, None if this host reads it itself.
 
         All hosts of a data centre try them in the same order, so that usually one of them reads.
         """
         now = self._clock.now()
-        for host in sorted(
-            self._near(now), key=lambda h: (zlib.crc32(h["name"].encode()), h["name"])
-        ):
+        near = [h for h in self._lately(now) if h["data_centre"] == self._own["data_centre"]]
+        for host in sorted(near, key=lambda h: (zlib.crc32(h["name"].encode()), h["name"])):
             if self._avoided_until.get(host["name"], now) > now:
                 continue
             return None if host["name"] == self._own["name"] else host
@@ -203,7 +169,12 @@
     async def _introduce(self, seed: str) -> None:
         told = self._told_by_seed.get(seed)
         own = self._own
-        query = {"digest": told.digest if told else "", **own}
+        query = {
+            "name": own["name"],
+            "address": own["address"],
+            "data_centre": own["data_centre"],
+            "digest": told.digest if told else "",
+        }
         try:
             answer = await self._get(seed, HOSTS_PATH, query, wait_seconds=0.0)
             hosts = self._hosts_decoder.decode(_decompress(answer.body))
@@ -243,7 +214,7 @@
             return Failure(error)
 
     async def _get(
-        self, address: str, path: str, query: Mapping[str, object], *, wait_seconds: float
+        self, address: str, path: str, query: dict[str, str], *, wait_seconds: float
     ) -> Answer:
         channel = self._channel_by_address.get(address)
         if channel is None:
--- a/filbertreach/gateway/_process.py
+++ b/filbertreach/gateway/_process.py
@@ -10,7 +10,6 @@
 
 from filbertreach.gateway._directory import Directory
 from filbertreach.gateway._discovery import Follower
-from filbertreach.gateway._leaf_samples import TELL_SECONDS, SampleExchange
 from filbertreach.gateway._metrics import (
     CALLERS_LEFT,
     FLEET_SIZE,
@@ -71,25 +70,6 @@
         )
         self._budget = BudgetSettings()
         self._budget.update(settings.bounds)
-        self.neighbours: Neighbours | None = None
-        """Other hosts, None if the settings have no address for them."""
-        self._samples: SampleExchange | None = None
-        if settings.neighbour_address is not None:
-            self.neighbours = Neighbours(
-                host=settings.host,
-                address=settings.neighbour_address,
-                data_centre=settings.data_centre,
-                seeds=settings.seed_addresses,
-                clock=self._clock,
-                datagram_address=settings.datagram_address,
-            )
-            if settings.datagram_address is not None:
-                self._samples = SampleExchange(
-                    host=settings.host,
-                    address=settings.datagram_address,
-                    peers=self.neighbours,
-                    clock=self._clock,
-                )
         self.directory = Directory(
             clock=self._clock,
             here=Location(settings.region, settings.data_centre),
@@ -98,10 +78,19 @@
             drain_seconds=settings.bounds.leaf_drain_seconds,
             spawn=self._spawn,
             on_change=self._update_health,
-            observer=self._samples,
         )
         self.news = News(clock=self._clock)
         """What this host knows of the store, for its neighbours."""
+        self.neighbours: Neighbours | None = None
+        """Other hosts, None if the settings have no address for them."""
+        if settings.neighbour_address is not None:
+            self.neighbours = Neighbours(
+                host=settings.host,
+                address=settings.neighbour_address,
+                data_centre=settings.data_centre,
+                seeds=settings.seed_addresses,
+                clock=self._clock,
+            )
         self._running = 0
 
     async def __aenter__(self) -> Self:
@@ -121,11 +110,6 @@
         if self.neighbours is not None:
             await self._stack.enter_async_context(self.neighbours)
             self._group.start_soon(self.neighbours.run)
-        if self._samples is not None:
-            self._group.start_soon(self._samples.run, self.directory)
-            self._timers.subscribe(
-                name="tell", interval_seconds=TELL_SECONDS, callback=self._samples.tell
-            )
         self._group.start_soon(follower.run)
         self._timers.subscribe(name="tidy", interval_seconds=_TIDY_SECONDS, callback=self._tidy)
         REQUESTS_IN_PROGRESS.set_function(lambda: self._running)
@@ -285,10 +269,5 @@
         if self.neighbours is not None:
             hosts = self.neighbours.fleet_size()
             FLEET_SIZE.set(hosts)
-            shares = self._samples is not None and self._samples.is_open
-            settled = shares and self.neighbours.is_settled
-            self._budget.divide(
-                hosts,
-                data_centres=len(self._settings.region_by_data_centre) if settled else None,
-            )
+            self._budget.divide(hosts)
             self.directory.set_hosts(hosts)
--- a/filbertreach/gateway/_service_call.py
+++ b/filbertreach/gateway/_service_call.py
@@ -132,10 +132,7 @@
             self._fail()
             return
         handle = self.pool.choose(
-            tried=(*self.leaves, *self._avoid),
-            now=now,
-            repeatable=context.route.idempotent,
-            typical_seconds=context.latencies.typical_seconds,
+            tried=(*self.leaves, *self._avoid), now=now, repeatable=context.route.idempotent
         )
         if handle is None:
             # With every leaf tried, or none listed, a wait would hardly bring a better one.
@@ -168,11 +165,7 @@
         )
         if not allowed:
             return
-        handle = self.pool.choose(
-            tried=(*self.leaves, *self._avoid),
-            now=now,
-            typical_seconds=context.latencies.typical_seconds,
-        )
+        handle = self.pool.choose(tried=(*self.leaves, *self._avoid), now=now)
         if handle is None:
             self.next_at = now + _POLL_SECONDS
             return
--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -1,6 +1,5 @@
 """The leaves of one service: which of them gets the next request, and on which connection."""
 
-import functools
 import math
 from collections.abc import Callable, Collection, Coroutine
 from typing import Any, NamedTuple
@@ -9,7 +8,6 @@
 from filbertreach.document import Leaf, Pool
 from filbertreach.gateway._exchange import Exchange
 from filbertreach.gateway._leaf_connection import LeafConnection
-from filbertreach.gateway._leaf_samples import CallObserver
 from filbertreach.gateway._metrics import CONNECTIONS, CONNECTIONS_OPENED
 from filbertreach.gateway._retry_budget import BudgetSettings, RetryBudget
 from filbertreach.platform import LeafEntry
@@ -32,9 +30,6 @@
 _SMOOTHING = 0.3
 """Weight of a new latency: a host sends a leaf a few calls a second, and slow leaves cost hedges
 until they are known."""
-_FORGET_SECONDS = 6.0
-"""Time after which the latency of a leaf that no host calls is no longer believed: long enough that
-a leaf that is slow for some seconds is tried once or twice meanwhile."""
 _STUCK_FACTOR = 3.0
 """A call out for this many mean latencies keeps further calls from a leaf that has paused."""
 _CONNECTION_COST_MS = 6.0
@@ -84,7 +79,6 @@
             pool=Pool(entry.service, entry.slots, 3 * connections, _CONNECTION_COST_MS),
             smoothing=_SMOOTHING,
             stuck_factor=_STUCK_FACTOR,
-            forget_seconds=_FORGET_SECONDS,
         )
         self.tracker.distance_seconds = here.distance_seconds(entry.leaf)
         self.usable_until = math.inf
@@ -152,7 +146,6 @@
         drain_seconds: float,
         clock: Clock,
         spawn: Spawn,
-        observer: CallObserver | None = None,
     ) -> None:
         """Creates a pool without leaves.
 
@@ -163,17 +156,14 @@
             drain_seconds: Time after which a leaving leaf must get nothing new.
             clock: Source of time.
             spawn: Runs a coroutine function as a task.
-            observer: Takes what calls to the leaves show.
         """
         self.service = service
-        on_slack = None if observer is None else functools.partial(observer.on_slack, service)
-        self.budget = RetryBudget(settings=budget, on_slack=on_slack)
+        self.budget = RetryBudget(settings=budget)
         self.handle_by_id: dict[str, LeafHandle] = {}
         self._here = here
         self._drain_seconds = drain_seconds
         self._clock = clock
         self._spawn = spawn
-        self._observer = observer
         self._chooser: ReplicaPolicy = make_replica_policy(name="least_expected_wait")
         self._connections = _DEFAULT_CONNECTIONS
         self._hosts = _LEAST_HOSTS
@@ -242,12 +232,7 @@
                     del self.handle_by_id[leaf_id]
 
     def choose(
-        self,
-        *,
-        tried: Collection[str],
-        now: float,
-        repeatable: bool = True,
-        typical_seconds: float | None = None,
+        self, *, tried: Collection[str], now: float, repeatable: bool = True
     ) -> LeafHandle | None:
         """Chooses the leaf for a request.
 
@@ -255,8 +240,6 @@
             tried: Leaves that already have the request.
             now: Clock now, in seconds.
             repeatable: Whether the request may be sent again if it is lost.
-            typical_seconds: Latency of the leaves of the route, all services together: a service
-                has few leaves, and an unknown one is mostly better than one that is slow.
 
         Returns:
             A leaf with a connection, or None.
@@ -274,9 +257,7 @@
             wanted = [h for h in wanted if h.tracker.state != "suspect"] or wanted
         if not wanted:
             return min(last_resort, key=lambda h: h.tracker.in_flight, default=None)
-        tracker = self._chooser.choose(
-            [h.tracker for h in wanted], now, typical_seconds=typical_seconds
-        )
+        tracker = self._chooser.choose([h.tracker for h in wanted], now)
         if tracker is not None:
             return self.handle_by_id[tracker.leaf.id]
         return self._least_loaded(wanted)
@@ -323,10 +304,7 @@
             outcome: How it ended.
         """
         now = self._clock.now()
-        seconds = now - exchange.started_at
-        handle.tracker.finished(outcome, seconds, now)
-        if self._observer is not None:
-            self._observer.on_call_end(handle.leaf.id, outcome, seconds)
+        handle.tracker.finished(outcome, now - exchange.started_at, now)
 
     def has_leaves(self, now: float) -> bool:
         """Returns whether any leaf may be chosen, now or when it has room.
--- a/filbertreach/gateway/tests/test_command.py
+++ b/filbertreach/gateway/tests/test_command.py
@@ -143,7 +143,6 @@
         ("grace_s = 1", "grace_s = 0", "grace_s"),
         ("retry_slack = 54", 'retry_slack = "many"', "retry_slack"),
         ('address = "127.0.0.1:1"', 'address = "127.0.0.1"', "expected ip:port"),
-        ("unknown_field = 7", "internal_ports = [70000]", "internal_ports"),
         ("[zones]", "[zones", "settings file"),
     ],
 )
--- a/filbertreach/gateway/tests/test_neighbours.py
+++ b/filbertreach/gateway/tests/test_neighbours.py
@@ -85,47 +85,6 @@
     assert neighbours.fleet_size() == 1
 
 
-@pytest.mark.parametrize(
-    ("seconds", "heard", "settled"),
-    [
-        # Hosts that start together do not know each other yet, and would all use the whole slack.
-        (1.0, True, False),
-        (5.0, True, True),
-        # Alone, or cut off.
-        (5.0, False, False),
-        (40.0, True, False),
-    ],
-)
-def test_when_hosts_know_each_other(seconds: float, heard: bool, settled: bool) -> None:
-    clock = FakeClock()
-    neighbours = _neighbours("front-1", clock)
-    if heard:
-        neighbours.introduced(_host("front-2"), known_digest="")
-    clock.advance(seconds)
-    assert neighbours.is_settled is settled
-
-
-def test_datagrams_go_to_the_hosts_of_the_data_centre_that_take_them() -> None:
-    clock = FakeClock()
-    neighbours = Neighbours(
-        host="front-1",
-        address="127.0.0.1:1",
-        data_centre="minho-1",
-        seeds=(),
-        clock=clock,
-        datagram_address="127.0.0.1:101",
-    )
-    for name, data_centre in (("front-2", "minho-1"), ("front-3", "ribatejo-1")):
-        host = _host(name, data_centre)
-        host["datagram_address"] = f"127.0.0.2:{len(data_centre)}"
-        neighbours.introduced(host, known_digest="")
-    # A host of an older version, or without a port for it.
-    neighbours.introduced(_host("front-4"), known_digest="")
-    assert neighbours.datagram_addresses() == ["127.0.0.2:7"]
-    clock.advance(30.0)
-    assert neighbours.datagram_addresses() == []
-
-
 def test_hosts_are_told_only_to_those_that_do_not_know_them() -> None:
     neighbours = _neighbours("front-1", FakeClock())
     first = neighbours.introduced(_host("front-2"), known_digest="")
--- a/filbertreach/platform/_boot.py
+++ b/filbertreach/platform/_boot.py
@@ -49,8 +49,6 @@
     """ip:port on which the balancer asks for readiness."""
     neighbour_address: str | None
     """ip:port for gateways of other hosts, None if there is none."""
-    datagram_address: str | None
-    """ip:port for datagrams of gateways of other hosts, None if there is none."""
     seed_addresses: tuple[str, ...]
     """Neighbour addresses of a few hosts, which may be out of date."""
     store_address: str
@@ -61,7 +59,6 @@
 
 _Text = Annotated[str, msgspec.Meta(min_length=1)]
 _Seconds = Annotated[float, msgspec.Meta(gt=0)]
-_Port = Annotated[int, msgspec.Meta(gt=0, lt=65536)]
 _Amount = Annotated[float, msgspec.Meta(ge=0)]
 
 
@@ -94,9 +91,6 @@
     platform: _Store
     bounds: _Bounds
     seeds: list[str] = []
-    ip: str | None = None
-    # First and last port that programs of this system may use among themselves.
-    internal_ports: list[_Port] = []
 
 
 def load_boot(path: str | None = None) -> Result[HostSettings, BootError]:
@@ -151,9 +145,6 @@
         serve_address=boot.listen.front,
         ready_address=boot.listen.ready,
         neighbour_address=boot.listen.control or None,
-        datagram_address=(
-            f"{boot.ip}:{boot.internal_ports[0]}" if boot.ip and boot.internal_ports else None
-        ),
         seed_addresses=tuple(boot.seeds),
         store_address=boot.platform.address,
         bounds=Bounds(
--- a/filbertreach/schema/_generated_messages.py
+++ b/filbertreach/schema/_generated_messages.py
@@ -594,48 +594,6 @@
     """
     Data centre of the host.
     """
-    datagram_address: NotRequired[str]
-    """
-    ip:port for samples of other gateways; absent if it takes none.
-    """
-
-
-class LeafSample(TypedDict):
-    """
-    How one call to a leaf ended.
-    """
-
-    leaf: str
-    """
-    Id of the leaf.
-    """
-    outcome: str
-    """
-    Value of a LeafOutcome.
-    """
-    seconds: float
-    """
-    Time from the choice of the leaf to the end.
-    """
-
-
-class LeafSamples(TypedDict):
-    """
-    Calls of a gateway that ended lately, told to gateways of its data centre.
-    """
-
-    sender: str
-    """
-    Host name of the sender.
-    """
-    samples: list[LeafSample]
-    """
-    The calls.
-    """
-    slack_by_service: NotRequired[dict[str, int]]
-    """
-    Extra calls beyond the retry ratio since the last message, by service; absent if there were none.
-    """
 
 
 class KnownHosts(TypedDict):
