Take an unknown leaf for an ordinary one of the route

A service has three leaves there, and a host has called only the near one: its latency was taken as typical of the service, so the unknown far ones counted as just as slow and lost by their distance.

Test: test_an_unknown_leaf_is_taken_for_an_ordinary_one_of_the_route fails without the argument (its last row states what was chosen before).

--- a/filbertreach/decisions/_replicas.py
+++ b/filbertreach/decisions/_replicas.py
@@ -20,7 +20,12 @@
 
     @abc.abstractmethod
     def choose(
-        self, trackers: Sequence[LeafTracker], now: float, *, waiting: int = 1
+        self,
+        trackers: Sequence[LeafTracker],
+        now: float,
+        *,
+        waiting: int = 1,
+        typical_seconds: float | None = None,
     ) -> LeafTracker | None:
         """Chooses a leaf.
 
@@ -28,6 +33,8 @@
             trackers: Leaves that may be chosen; leave out those that already have the call.
             now: Seconds of the dispatch clock.
             waiting: Calls that wait, with the one that the leaf is chosen for.
+            typical_seconds: Latency of a leaf that nothing is known of, from services that are
+                alike; None for the median of the given leaves.
 
         Returns:
             A leaf that has room, or None if the call has to wait. Ask again when any call of the
@@ -87,13 +94,18 @@
     """
 
     def choose(
-        self, trackers: Sequence[LeafTracker], now: float, *, waiting: int = 1
+        self,
+        trackers: Sequence[LeafTracker],
+        now: float,
+        *,
+        waiting: int = 1,
+        typical_seconds: float | None = None,
     ) -> LeafTracker | None:
         """Chooses the leaf with the least expected time; see `ReplicaPolicy`."""
         probe = self._due_probe(trackers, now)
         if probe is not None:
             return probe
-        typical = _typical_seconds(trackers)
+        typical = _typical_seconds(trackers) if typical_seconds is None else typical_seconds
         seconds_by_id = {
             tracker.leaf.id: tracker.expected_seconds(now, typical)
             for tracker in trackers
@@ -153,7 +165,12 @@
         self._turn = 0
 
     def choose(
-        self, trackers: Sequence[LeafTracker], now: float, *, waiting: int = 1
+        self,
+        trackers: Sequence[LeafTracker],
+        now: float,
+        *,
+        waiting: int = 1,
+        typical_seconds: float | None = None,
     ) -> LeafTracker | None:
         """Chooses the next leaf with room; see `ReplicaPolicy`."""
         for offset in range(len(trackers)):
@@ -169,7 +186,12 @@
     """Baseline: takes the leaf that reported the least load, however old the report."""
 
     def choose(
-        self, trackers: Sequence[LeafTracker], now: float, *, waiting: int = 1
+        self,
+        trackers: Sequence[LeafTracker],
+        now: float,
+        *,
+        waiting: int = 1,
+        typical_seconds: float | None = None,
     ) -> LeafTracker | None:
         """Chooses the least loaded leaf by report; see `ReplicaPolicy`."""
         with_room = [tracker for tracker in trackers if tracker.has_room(now)]
--- a/filbertreach/gateway/_command.py
+++ b/filbertreach/gateway/_command.py
@@ -203,4 +203,3 @@
         except Exception as error:
             _LOGGER.error("failed", error=repr(error), exc_info=True)
             sys.exit(EXIT_FAILED)
-
--- a/filbertreach/gateway/_route_latencies.py
+++ b/filbertreach/gateway/_route_latencies.py
@@ -33,6 +33,11 @@
         if extra:
             self._extras.record(seconds, now)
 
+    @property
+    def typical_seconds(self) -> float | None:
+        """Median of all attempts; None while too few were answered."""
+        return self._attempts.quantile(0.5)
+
     def hedge_seconds(self, left_seconds: float) -> float:
         """Returns how long to wait for an attempt that is sent now.
 
@@ -47,7 +52,7 @@
         Returns:
             Seconds.
         """
-        median = self._attempts.quantile(0.5)
+        median = self.typical_seconds
         needed = self._extras.quantile(_HEDGE_NEEDS_QUANTILE)
         if needed is None:
             needed = self._attempts.quantile(_ATTEMPT_QUANTILE)
--- a/filbertreach/gateway/_service_call.py
+++ b/filbertreach/gateway/_service_call.py
@@ -132,7 +132,10 @@
             self._fail()
             return
         handle = self.pool.choose(
-            tried=(*self.leaves, *self._avoid), now=now, repeatable=context.route.idempotent
+            tried=(*self.leaves, *self._avoid),
+            now=now,
+            repeatable=context.route.idempotent,
+            typical_seconds=context.latencies.typical_seconds,
         )
         if handle is None:
             # With every leaf tried, or none listed, a wait would hardly bring a better one.
@@ -165,7 +168,11 @@
         )
         if not allowed:
             return
-        handle = self.pool.choose(tried=(*self.leaves, *self._avoid), now=now)
+        handle = self.pool.choose(
+            tried=(*self.leaves, *self._avoid),
+            now=now,
+            typical_seconds=context.latencies.typical_seconds,
+        )
         if handle is None:
             self.next_at = now + _POLL_SECONDS
             return
--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -232,7 +232,12 @@
                     del self.handle_by_id[leaf_id]
 
     def choose(
-        self, *, tried: Collection[str], now: float, repeatable: bool = True
+        self,
+        *,
+        tried: Collection[str],
+        now: float,
+        repeatable: bool = True,
+        typical_seconds: float | None = None,
     ) -> LeafHandle | None:
         """Chooses the leaf for a request.
 
@@ -240,6 +245,8 @@
             tried: Leaves that already have the request.
             now: Clock now, in seconds.
             repeatable: Whether the request may be sent again if it is lost.
+            typical_seconds: Latency of the leaves of the route, all services together: a service
+                has few leaves, and an unknown one is mostly better than one that is slow.
 
         Returns:
             A leaf with a connection, or None.
@@ -257,7 +264,9 @@
             wanted = [h for h in wanted if h.tracker.state != "suspect"] or wanted
         if not wanted:
             return min(last_resort, key=lambda h: h.tracker.in_flight, default=None)
-        tracker = self._chooser.choose([h.tracker for h in wanted], now)
+        tracker = self._chooser.choose(
+            [h.tracker for h in wanted], now, typical_seconds=typical_seconds
+        )
         if tracker is not None:
             return self.handle_by_id[tracker.leaf.id]
         return self._least_loaded(wanted)
--- a/filbertreach/gateway/tests/test_service_pool.py
+++ b/filbertreach/gateway/tests/test_service_pool.py
@@ -65,6 +65,25 @@
     assert handle is not None and handle.leaf.id == expected
 
 
+@pytest.mark.parametrize(
+    ("slow_seconds", "typical_seconds", "expected"),
+    [
+        (0.05, 0.04, "near"),
+        (0.12, 0.04, "far"),
+        # The only leaf that is known was taken for typical, and the others for as slow.
+        (0.12, None, "near"),
+    ],
+)
+def test_an_unknown_leaf_is_taken_for_an_ordinary_one_of_the_route(
+    slow_seconds: float, typical_seconds: float | None, expected: str
+) -> None:
+    clock = FakeClock(start=100.0)
+    pool = _near_and_far(clock)
+    _answer(pool, "near", slow_seconds, clock)
+    handle = pool.choose(tried=(), now=clock.now(), typical_seconds=typical_seconds)
+    assert handle is not None and handle.leaf.id == expected
+
+
 def test_an_unused_far_leaf_is_not_explored() -> None:
     # Guards against trying a far leaf each time its latency is forgotten.
     clock = FakeClock(start=100.0)
