--- a/experiments/__main__.py
+++ b/experiments/__main__.py
@@ -27,6 +27,7 @@
     "configuration",
     "idle",
     "simulated",
+    "query_cost",
 )
 _NOT_IN_SHORT_RUNS = (
     "degrading",
--- /dev/null
+++ b/experiments/query_cost.py
@@ -0,0 +1,127 @@
+"""Processor time that a gateway takes for one scatter query."""
+
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import anyio
+
+from experiments._registry import experiment
+from filbertreach.document import Leaf, Route
+from filbertreach.gateway._directory import RouteState
+from filbertreach.gateway._query import Query
+from filbertreach.gateway._retry_budget import BudgetSettings
+from filbertreach.gateway._service_pool import Location, ServicePool
+from filbertreach.platform import Bounds, LeafEntry, read_request_head
+from filbertreach.timing import SystemClock
+from filbertreach_standins._process import StandInProcess
+
+_SHARDS = (25, 90, 135)
+_WORK_MS = 20
+_BOUNDS = Bounds(5.0, 5.0, 6.0, 0.2, 10.0, 1000.0)
+_SETTLE_SECONDS = 0.05
+"""Pause after a query, in which connections are closed; its processor time counts."""
+
+
+@experiment("query_cost", "What processor time does a scatter query take, and how does it grow?")
+def run(seed: int, short: bool) -> dict[str, Any]:
+    """Measures queries over one leaf process, which answers for every shard.
+
+    Args:
+        seed: Not used; the inputs are fixed.
+        short: Whether to repeat less often.
+
+    Returns:
+        Milliseconds a query and microseconds a call, by shards and by kind of connections.
+    """
+    queries = 15 if short else 60
+    figures: dict[str, Any] = {}
+    with StandInProcess(module="deployment", arguments=["--leaves", "1"]) as process:
+        _, leaf = process.controls
+        leaf.set_faults(work_ms=_WORK_MS)
+        for shards in _SHARDS:
+            for kept in (True, False):
+                seconds = anyio.run(
+                    _measure,
+                    Leaf(leaf.id, leaf.address, "minho", "minho-1"),
+                    shards,
+                    queries,
+                    kept,
+                    backend_options={"use_uvloop": True},
+                )
+                figures[f"{shards} shards, {'kept' if kept else 'new'} connections"] = {
+                    "ms_per_query": round(seconds * 1e3, 1),
+                    "us_per_call": round(seconds / shards * 1e6),
+                }
+    return figures
+
+
+async def _measure(leaf: Leaf, shards: int, queries: int, kept: bool) -> float:
+    """Returns the processor time of a query, in seconds."""
+    clock = SystemClock()
+    budget = BudgetSettings()
+    budget.update(_BOUNDS)
+    async with anyio.create_task_group() as group:
+
+        def spawn(run: Callable[[], Coroutine[Any, Any, None]], name: str) -> None:
+            group.start_soon(run, name=name)
+
+        pools = []
+        for number in range(shards):
+            pool = ServicePool(
+                service=f"shard-{number}",
+                here=Location(leaf.region, leaf.data_centre),
+                budget=budget,
+                drain_seconds=5.0,
+                clock=clock,
+                spawn=spawn,
+            )
+            pool.list_leaf(LeafEntry(leaf, pool.service, 2, False, 1), since=0.0)
+            pools.append(pool)
+        state = RouteState()
+        route = _route(tuple(pool.service for pool in pools))
+
+        async def ask(number: int) -> None:
+            headers = [(b"host", b"h"), (b"x-request-id", b"q%d" % number)]
+            request = read_request_head(method="GET", target=b"/x", headers=headers, body=b"")
+            result = await Query(
+                request=request,
+                route=route,
+                pools=pools,
+                latencies=state.latencies,
+                latency=state.latency,
+                clock=clock,
+                arrived_at=clock.now(),
+            ).run()
+            assert result.included == shards, result.outcome
+            if not kept:
+                for pool in pools:
+                    for handle in pool.handle_by_id.values():
+                        handle.close_idle()
+            await anyio.sleep(_SETTLE_SECONDS)
+
+        for number in range(5):
+            await ask(number)
+        began = time.process_time()
+        for number in range(queries):
+            await ask(5 + number)
+        seconds = (time.process_time() - began) / queries
+        group.cancel_scope.cancel()
+    return seconds
+
+
+def _route(shards: tuple[str, ...]) -> Route:
+    return Route(
+        name="r",
+        host="h",
+        prefix="/",
+        idempotent=True,
+        timeout_seconds=10.0,
+        objective_seconds=5.0,
+        max_attempts=2,
+        priority=0,
+        weight_by_service={},
+        shards=shards,
+        top=20,
+        least_coverage=1.0,
+    )
