--- a/filbertreach/entry/_daemon.py
+++ b/filbertreach/entry/_daemon.py
@@ -1,7 +1,6 @@
 """The entry process: runs queries by sending their parts to dispatch processes."""
 
 import contextlib
-import itertools
 from types import TracebackType
 from typing import Self, cast
 
@@ -10,26 +9,25 @@
 from returns.result import Success
 
 from filbertreach.decisions import ShardLatency, make_wait_policy
-from filbertreach.document import Environment, Snapshot
+from filbertreach.document import Snapshot
 from filbertreach.entry._admission import Admit, Outcome, QueryFacts, Refuse, make_admission
 from filbertreach.entry._claims import ClaimTable
-from filbertreach.entry._gather import Gather, GatherResult, OutstandingCall
+from filbertreach.entry._gather import Gather, GatherResult
 from filbertreach.entry._merging import MergeError, make_merger
-from filbertreach.entry._metrics import IN_PROGRESS, OWNER_RESENDS, REFUSED
+from filbertreach.entry._metrics import IN_PROGRESS, REFUSED
+from filbertreach.entry._owner_calls import LEAST_OVERHEAD_SECONDS, OwnerCalls
 from filbertreach.entry._platform_claims import ClaimTakenError, PlatformClaims
 from filbertreach.entry._problems import ProblemError
 from filbertreach.entry._request import Query, select_shards
 from filbertreach.entry._snapshots import SnapshotChooser
-from filbertreach.membership import OwnerTable, ViewClient
+from filbertreach.membership import ViewClient
 from filbertreach.observability import Health, Span, Tracing, get_logger
 from filbertreach.platform import KeyValueClient
-from filbertreach.schema import Answer, Call, Cancel, Failure, Load, Settings
+from filbertreach.schema import Answer, Failure, Load, Settings
 from filbertreach.timing import TimerService
 from filbertreach.transport import Peer, Received, Transport
 
 _HEALTH_SECONDS = 0.25
-_LEAST_OVERHEAD_SECONDS = 0.001
-"""Time kept back from each deadline for the merge and the way back to the caller."""
 
 _LOGGER = get_logger(__name__)
 
@@ -110,9 +108,9 @@
         self._snapshots = SnapshotChooser()
         self._claims = ClaimTable()
         self._latency_by_rank: dict[tuple[str, str], ShardLatency] = {}
-        self._gather_by_call: dict[str, Gather] = {}
-        self._call_numbers = itertools.count(1)
-        self._owners = OwnerTable()
+        self._calls = OwnerCalls(
+            transport=self.transport, snapshots=self._snapshots, clock=self.clock
+        )
         self._running = 0
         self._group: anyio.abc.TaskGroup | None = None
         self._stack = contextlib.AsyncExitStack()
@@ -231,7 +229,7 @@
             shards_total=len(shards),
             started=outcome.started_at,
             target_seconds=query.rank.target_ms / 1000.0,
-            deadline=deadline_at - _LEAST_OVERHEAD_SECONDS,
+            deadline=deadline_at - LEAST_OVERHEAD_SECONDS,
             least_coverage=policy.least_coverage,
             latency=latency,
         )
@@ -283,7 +281,7 @@
         claim_key: str | None = None
         try:
             claim_key = await self._claim_in_time(gather)
-            self._scatter(gather)
+            self._calls.scatter(gather)
             await gather.wait(self.clock.now)
             outcome.result = result = gather.finish()
             ended = _outcome(gather, result)
@@ -291,7 +289,7 @@
                 await self._platform_claims.release(claim_key)
             return result
         finally:
-            self._abandon(gather)
+            self._calls.abandon(gather)
             now = self.clock.now()
             queue_seconds = None if gather.queue_ms is None else gather.queue_ms / 1000.0
             self._admission.on_finished(
@@ -332,75 +330,6 @@
             retry_after_seconds=1.0,
         )
 
-    def _scatter(self, gather: Gather) -> None:
-        """Sends the call of each shard to the owner of its service."""
-        now = self.clock.now()
-        if now >= gather.deadline_at:
-            # The process may have been paused since the request came.
-            raise ProblemError("deadline-passed", "the deadline passed before anything was sent")
-        service_by_shard = gather.query.environment.maps_by_name[gather.snapshot.map_name]
-        for shard in gather.shards:
-            self._send_call(gather, shard, service_by_shard[shard], exclude=None)
-
-    def _send_call(self, gather: Gather, shard: str, service: str, *, exclude: str | None) -> None:
-        query = gather.query
-        now = self.clock.now()
-        address = self._owner_address(query.environment, service, exclude=exclude)
-        if address is None:
-            gather.not_sent(shard, now)
-            return
-        call_id = f"{next(self._call_numbers):x}"
-        call = Call(
-            kind="call",
-            call_id=call_id,
-            query_id=query.request_id,
-            environment=query.environment.name,
-            generation=query.environment.generation,
-            service=service,
-            shard=shard,
-            version=gather.snapshot.version,
-            rank=query.rank.name,
-            client=query.client,
-            application=query.application.name,
-            idempotent=query.idempotent,
-            remaining_ms=max(0.0, 1000.0 * (gather.deadline_at - now - _LEAST_OVERHEAD_SECONDS)),
-            trace_parent=gather.span.trace_parent,
-            body=query.body,
-        )
-        if not self.transport.send(address=address, message=call):
-            gather.not_sent(shard, now)
-            return
-        gather.sent(OutstandingCall(call_id, shard, service, address, exclude is not None))
-        self._gather_by_call[call_id] = gather
-
-    def _owner_address(
-        self, environment: Environment, service: str, *, exclude: str | None
-    ) -> str | None:
-        """Returns the inbox of the first reachable dispatch process in the order of ownership."""
-        leaves = environment.services_by_name[service].leaf_by_id.values()
-        order = self._owners.order(
-            environment=environment.name,
-            service_name=service,
-            service_regions={leaf.region for leaf in leaves},
-        )
-        for member in order:
-            address = member["address"]
-            incarnation = member["incarnation"]
-            if address == exclude:
-                continue
-            if self.transport.is_reachable(address, incarnation=incarnation):
-                return address
-        return None
-
-    def _abandon(self, gather: Gather) -> None:
-        """Cancels the calls of a query that has ended."""
-        for call in gather.outstanding_by_id.values():
-            self._gather_by_call.pop(call.call_id, None)
-            self.transport.send(
-                address=call.address, message=Cancel(kind="cancel", call_id=call.call_id)
-            )
-        gather.outstanding_by_id.clear()
-
     # Events of the transport.
 
     def on_message(self, received: Received) -> None:
@@ -408,9 +337,9 @@
         message = received.message
         match message.get("kind"):
             case "answer":
-                self._on_answer(received.address, cast(Answer, message))
+                self._calls.on_answer(received.address, cast(Answer, message))
             case "failure":
-                self._on_failure(received.address, cast(Failure, message))
+                self._calls.on_failure(received.address, cast(Failure, message))
             case "load":
                 self._on_load(cast(Load, message))
             case "view":
@@ -421,50 +350,8 @@
                 _LOGGER.warning("message dropped", kind=other, sender=received.sender)
 
     def on_peer_lost(self, peer: Peer) -> None:
-        """Moves idempotent calls of a lost dispatch process to another one; see `PeerEvents`."""
-        lost = [
-            (gather, call)
-            for gather in {id(g): g for g in self._gather_by_call.values()}.values()
-            for call in list(gather.outstanding_by_id.values())
-            if call.address == peer.address
-        ]
-        for gather, call in lost:
-            self._gather_by_call.pop(call.call_id, None)
-            # A call is moved once, so that entry processes never multiply the retries of owners.
-            if gather.query.idempotent and not call.resent:
-                gather.on_moved(call)
-                OWNER_RESENDS.labels(gather.query.environment.name).inc()
-                self._send_call(gather, call.shard, call.service, exclude=peer.address)
-            else:
-                gather.on_owner_lost(call, self.clock.now())
-
-    def _on_answer(self, address: str, answer: Answer) -> None:
-        gather = self._take(address, answer["call_id"])
-        if gather is not None:
-            gather.on_answer(answer, self.clock.now())
-
-    def _on_failure(self, address: str, failure: Failure) -> None:
-        gather = self._take(address, failure["call_id"])
-        if gather is None:
-            return
-        now = self.clock.now()
-        call = gather.outstanding_by_id[failure["call_id"]]
-        if failure["reason"] == "version_unavailable":
-            self._snapshots.on_version_unavailable(
-                gather.query.environment.name, call.service, gather.snapshot.version, now
-            )
-        if failure["reason"] == "owner_lost" and failure["started"] == "no" and not call.resent:
-            # The dispatch process does not have the document yet; another one may.
-            gather.outstanding_by_id.pop(call.call_id)
-            self._send_call(gather, call.shard, call.service, exclude=address)
-            return
-        gather.on_failure(failure, now)
-
-    def _take(self, address: str, call_id: str) -> Gather | None:
-        gather = self._gather_by_call.get(call_id)
-        if gather is None or gather.outstanding_by_id[call_id].address != address:
-            return None
-        return self._gather_by_call.pop(call_id)
+        """Moves calls of a lost dispatch process to another one; see `PeerEvents`."""
+        self._calls.on_owner_lost(peer.address)
 
     def _on_load(self, load: Load) -> None:
         now = self.clock.now()
@@ -475,7 +362,7 @@
     # View and health.
 
     def _on_view(self) -> None:
-        self._owners.update(self.view.members)
+        self._calls.on_members(self.view.members)
         addresses = {m["address"] for m in self.view.members if m["role"] == "dispatch"}
         agent = self.settings["view"].get("agent", "")
         self.transport.keep(addresses | ({agent} if agent else set()))
--- a/filbertreach_standins/gateways/run.py
+++ b/filbertreach_standins/gateways/run.py
@@ -143,7 +143,7 @@
         if kind.name == "kill all":
             return {item.name for item in self._deployment.gateways}
         if kind.name == "hangup":
-            # SIGHUP ends a process that is still starting; see docs/guarantees.md.
+            # SIGHUP ends a process in which Python itself still starts; see docs/guarantees.md.
             return {gateway}
         return {kind.name} if kind.is_global or not kind.is_fault else {gateway}
 
