--- a/filbertreach_standins/gateways/run.py
+++ b/filbertreach_standins/gateways/run.py
@@ -109,10 +109,12 @@
         threads = [threading.Thread(target=self._run_lane, args=(n,)) for n in range(_LANES)]
         for thread in threads:
             thread.start()
-        self._ending.wait(self._options.seconds)
-        self._ending.set()
-        for thread in threads:
-            thread.join()
+        try:
+            self._ending.wait(self._options.seconds)
+        finally:
+            self._ending.set()
+            for thread in threads:
+                thread.join()
         if self._errors:
             raise self._errors[0]
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -4,6 +4,7 @@
 
 import argparse
 import random
+import signal
 import sys
 import time
 
@@ -11,6 +12,7 @@
 from filbertreach_standins.gateways import run as gateway_run
 
 _DEFAULT_SECONDS = 300.0
+_EXIT_TERMINATED = 143
 
 
 def main() -> int:
@@ -27,6 +29,8 @@
     parser.add_argument("--hosts", type=int, default=3)
     parser.add_argument("--kind", action="append", default=[], help="only this kind of fault")
     arguments = parser.parse_args()
+    # The default action would leave the processes of the run behind.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(_EXIT_TERMINATED))
     broken = []
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
         print(f"seed: {seed}", flush=True)
