Wait for all shards in the tests of the whole path

Trace: Fleet started again and again beside the same load, logs at debug. In the 4th start the first query was answered after 89.4 ms with 3 of 6 shards. The rank's target is 90 ms, and the default policy answers at 0.95 of it with half of the shards; the first calls of one dispatch process took longer. The answer was right and truthfully labelled, so the case is allowed, and the test passed by the speed of the machine.

Open: one first query of 12 beside that load took 1270 ms, one 644 ms (it waited for all); not traced.

--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -9,7 +9,9 @@
 
 @pytest.fixture(scope="module")
 def fleet():
-    with Fleet(options=FleetOptions(services=6, versions=(40, 41))) as running:
+    # Waiting for all shards: by the default policy an answer may lack shards that take longer than
+    # 0.95 of the target of 90 ms, which the first query does on a busy machine.
+    with Fleet(options=FleetOptions(services=6, versions=(40, 41), wait="complete")) as running:
         yield running
 
 
