--- a/filbertreach/gateway/_route_latencies.py
+++ b/filbertreach/gateway/_route_latencies.py
@@ -7,7 +7,7 @@
 _HEDGE_NEEDS_QUANTILE = 0.8
 """Quantile of the latency of second leaves that is kept back for the hedge to answer in."""
 _ATTEMPT_QUANTILE = 0.95
-"""The same quantile of all attempts, taken while too few second leaves have answered."""
+"""Quantile of all attempts that is kept back while too few second leaves have answered."""
 _PATIENCE_MEDIANS = 1.5
 """An attempt gets this many median latencies, however late a hedge would then be."""
 
