Remember the departure of a leaf after its handle is removed

The pool removes a handle once its last resort of 2 s is over; the renewed entry then made a new handle with 2 s more, usable until 28.26 s. Any relisting of the store did the same.

Ruled out: late knowledge. All 80 hosts had the leaf as leaving within 0.13 s of the first one, and front-braga-b-1 followed a live reader.

Change: the pool keeps the departure of a leaf (start time, end of its last resort) for 60 s after its last sign; a repeated report never prolongs it. A leaf that reports to be leaving is bound by the clock of the previous data in every case: only a removed entry can be put down to an outage. A process that finds a leaving leaf in its first listing does not use it, as it may have left long before.

Test changed: the row (5.0 s, 2.0 s) of the late change held for a leaving report too, which allowed requests after the bound; it stands now in a test of its own, strict for the report (-2.3 s) and as before for the removal. Six cases fail without the change.

--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -25,7 +25,11 @@
 """Time for which a leaf that is leaving or unlisted still receives requests if its service has no
 other leaf. Entries can expire while the store is unavailable, and return within this time."""
 _DRAIN_MARGIN_SECONDS = 0.3
-"""Final part of the draining bound in which a leaf receives no more requests."""
+"""Final part of the draining bound in which no request is written to the leaf; it covers the
+network delay between the two."""
+_DEPARTURE_RETENTION_SECONDS = 60.0
+"""Time after the last sign of a leaf that has left for which its departure is remembered. A leaf
+renews its entry while it drains, and an entry may expire and return before it has drained."""
 _OTHER_REGION_PENALTY_SECONDS = 0.04
 """A leaf in another region is chosen only if it is expected to answer this much earlier, because
 traffic between regions is expensive."""
@@ -145,6 +149,15 @@
             connection.close()
 
 
+class _Departure(NamedTuple):
+    started_at_ms: int
+    """Start time of the leaf process, in Unix milliseconds."""
+    usable_until: float
+    """Clock until which the leaf could be chosen as a last resort, in seconds."""
+    seen_at: float
+    """Clock when the leaf was last reported as leaving or unlisted, in seconds."""
+
+
 class ServicePool:
     """Chooses leaves of one service and sends requests to them."""
 
@@ -171,6 +184,9 @@
         self.service = service
         self.budget = RetryBudget(settings=budget)
         self.handle_by_id: dict[str, LeafHandle] = {}
+        self._departure_by_id: dict[str, _Departure] = {}
+        """Leaves that are leaving or unlisted. A repeated report does not make a leaf usable for
+        longer, even if its handle has been removed meanwhile."""
         self._location = location
         self._drain_seconds = drain_seconds
         self._clock = clock
@@ -224,7 +240,12 @@
             )
             self.handle_by_id[entry.leaf.id] = handle
         handle.entry = entry
-        self._set_leaving(handle, leaving=entry.leaving, since=since)
+        handle.tracker.leaving = entry.leaving
+        if entry.leaving:
+            self._depart(handle, until=since + self._drain_seconds - _DRAIN_MARGIN_SECONDS)
+        else:
+            handle.usable_until = math.inf
+            self._departure_by_id.pop(entry.leaf.id, None)
 
     def unlist_leaf(self, leaf_id: str, *, since: float) -> None:
         """Marks a leaf as no longer listed in the store.
@@ -234,8 +255,14 @@
             since: Clock after which its entry was removed, in seconds.
         """
         handle = self.handle_by_id.get(leaf_id)
-        if handle is not None:
-            self._set_leaving(handle, leaving=True, since=since)
+        if handle is None:
+            return
+        handle.tracker.leaving = True
+        until = since + self._drain_seconds - _DRAIN_MARGIN_SECONDS
+        if self._clock.now() - since > self._drain_seconds:
+            # The store was unavailable since then, and entries of live leaves may have expired.
+            until = math.inf
+        self._depart(handle, until=until)
 
     def on_misdirected(self, handle: LeafHandle) -> None:
         """Stops using a leaf until its entry is written again, as another leaf has its address.
@@ -257,7 +284,7 @@
         handle.close_idle()
 
     def remove_expired(self, now: float) -> None:
-        """Removes leaves that can no longer be chosen and have no call in flight.
+        """Removes leaves that can no longer be chosen and have no call in flight, and departures.
 
         Args:
             now: Current clock, in seconds.
@@ -267,6 +294,9 @@
                 handle.close_idle()
                 if not handle.tracker.in_flight:
                     del self.handle_by_id[leaf_id]
+        for leaf_id, departure in list(self._departure_by_id.items()):
+            if now - departure.seen_at > _DEPARTURE_RETENTION_SECONDS:
+                del self._departure_by_id[leaf_id]
 
     def choose(
         self,
@@ -361,18 +391,22 @@
         """
         return any(now < handle.usable_until for handle in self.handle_by_id.values())
 
-    def _set_leaving(self, handle: LeafHandle, *, leaving: bool, since: float) -> None:
-        handle.tracker.leaving = leaving
-        if not leaving:
-            handle.usable_until = math.inf
-        elif handle.usable_until == math.inf:
-            now = self._clock.now()
-            handle.usable_until = now + _LAST_RESORT_SECONDS
-            if now - since <= self._drain_seconds:
-                # The leaf may have begun to leave as early as `since`. If `since` is older than the
-                # bound, the store was unavailable, and entries of live leaves may have expired.
-                latest = since + self._drain_seconds - _DRAIN_MARGIN_SECONDS
-                handle.usable_until = min(handle.usable_until, latest)
+    def _depart(self, handle: LeafHandle, *, until: float) -> None:
+        """Limits the use of a leaf that is leaving or unlisted.
+
+        Args:
+            handle: The leaf.
+            until: Clock after which no request may be written to the leaf, in seconds.
+        """
+        now = self._clock.now()
+        started_at_ms = handle.entry.started_at_ms
+        known = self._departure_by_id.get(handle.leaf.id)
+        if known is not None and known.started_at_ms == started_at_ms:
+            until = min(until, known.usable_until)
+        else:
+            until = min(until, now + _LAST_RESORT_SECONDS)
+        handle.usable_until = min(handle.usable_until, until)
+        self._departure_by_id[handle.leaf.id] = _Departure(started_at_ms, handle.usable_until, now)
 
     def _connections_per_host(self) -> int:
         return max(1, self._connections // self._sharing_hosts)
