Count the departure of a leaf from the previous data of the store

Cause: a watch whose answer took over 0.1 s was taken for one that had waited for the first of its changes, and the draining bound counted from the answer. An answer that is late because of the store, the network or this process looked the same, so the bound could end by as much later. Found while writing down the sum of the draining bound.

Change: a change may be as old as the previous data. A watch waits 1.5 s for all hosts (4 s without neighbours before), so that this is at most 1.8 s. Case 1.4 s of the new test fails without the change.

--- a/filbertreach/gateway/_discovery.py
+++ b/filbertreach/gateway/_discovery.py
@@ -23,12 +23,10 @@
 from filbertreach.schema import KnownHost, StoreNews
 from filbertreach.timing import Clock
 
-_WATCH_SECONDS = 4.0
-"""Wait of a watch without neighbours. A silent connection is detected after this time and the
-timeout of the call. The bounds of configuration and draining apply again 5 s after such a fault, so
-the sum stays below that."""
-_READER_WATCH_SECONDS = 1.5
-"""Wait of a watch with neighbours, which rely on regular confirmations from the reader."""
+_WATCH_SECONDS = 1.5
+"""Wait of a watch. A silent connection is detected after this time and the timeout of the call, and
+neighbours rely on regular confirmations from the reader. It is also the largest uncertainty of the
+time at which a leaf began to leave."""
 _BATCH_DELAY_SECONDS = 0.3
 """Delay after a watch that returned changes. Each call to the store is charged for and changes come
 in groups, so the next watch returns the rest of a group at once."""
@@ -40,8 +38,6 @@
 _FULL_BATCH = 50
 """Number of changes in one watch from which on there may be more, because the store limits what one
 watch returns."""
-_WAITED_SECONDS = 0.1
-"""A watch that took longer than this has waited for the first of its changes."""
 _POLL_SECONDS = 2.0
 """Longest wait for changes from the reader, which confirms its data at least as often."""
 _MIN_POLL_SECONDS = 0.1
@@ -168,18 +164,15 @@
                     pass
         else:
             kind = "watch" if is_reader else "catch up"
-            seconds = _WATCH_SECONDS if self._neighbours is None else _READER_WATCH_SECONDS
-            requested_at = self._clock.now()
-            match await self._store.watch(
-                ALL_KEYS, after=revision, wait_seconds=seconds if is_reader else _CATCH_UP_SECONDS
-            ):
+            wait_seconds = _WATCH_SECONDS if is_reader else _CATCH_UP_SECONDS
+            match await self._store.watch(ALL_KEYS, after=revision, wait_seconds=wait_seconds):
                 case Success(batch):
                     self._may_have_missed = len(batch.changes) >= _FULL_BATCH
-                    now = self._clock.now()
-                    as_of = self._change_log.as_of if self._may_have_missed else now
-                    # A watch that had to wait returns at the first change, so that change is new.
-                    since = now if now - requested_at > _WAITED_SECONDS else self._change_log.as_of
-                    self._apply(batch.changes, batch.revision, as_of=as_of, since=since)
+                    previous_as_of = self._change_log.as_of
+                    as_of = previous_as_of if self._may_have_missed else self._clock.now()
+                    # How long the answer took tells nothing about when the changes were made: it
+                    # may have been delayed by the store, the network or this process.
+                    self._apply(batch.changes, batch.revision, as_of=as_of, since=previous_as_of)
                     if batch.changes and is_reader and not self._may_have_missed:
                         await self._sleep(_BATCH_DELAY_SECONDS)
                 case Failure(HistoryLostError()):
--- a/filbertreach/gateway/tests/test_discovery.py
+++ b/filbertreach/gateway/tests/test_discovery.py
@@ -168,6 +168,35 @@
     assert len(slept) == 1 and slept[0] > 0.1
 
 
+@pytest.mark.parametrize("answer_seconds", [0.0, 0.05, 1.4])
+def test_a_change_may_be_as_old_as_the_previous_data(answer_seconds: float) -> None:
+    # Guards against taking a delayed answer for a watch that had to wait: the draining bound of a
+    # leaf then counted from the answer, and requests reached the leaf after it.
+    clock = FakeClock(start=100.0)
+    store = _Store([_listing(5, "a"), _changes(6, ("b", True))])
+    answer = store._next
+    seen: list[tuple[str, float]] = []
+
+    async def delay_changes(call: str) -> Result[Any, PlatformError]:
+        result = await answer(call)
+        if call == "watch 5":
+            clock.advance(answer_seconds)
+        return result
+
+    async def sleep(seconds: float) -> None:
+        clock.advance(seconds)
+
+    store._next = delay_changes  # type: ignore[method-assign]
+    _follow(
+        store=store,
+        clock=clock,
+        on_listing=lambda listing, since: None,
+        on_change=lambda key, item, since: seen.append((key, since)),
+        sleep=sleep,
+    )
+    assert seen == [("b", 100.0)]
+
+
 class _Neighbours:
     """A data centre whose reader answers from a script, in which None stands for no answer."""
 
