Check that a leaf may be used when the request is written; complete abandoned requests

Two faults between the choice of a leaf and the write of the request. 1. A permission that runs out meanwhile: a leaf that is a last resort was chosen before its bound, the connection opened for up to 0.3 s, and the request was written after the bound (margin 0.3 s). The exchange now asks may_send when it is written. 2. A request abandoned while its connection opened got no result: the leaf counted one call more in flight for the life of the handle, looked stuck from then on and was avoided. It now ends as unsent.

Both tests fail without the change (time-out, no result).

--- a/filbertreach/gateway/_exchange.py
+++ b/filbertreach/gateway/_exchange.py
@@ -40,6 +40,7 @@
         encode: Callable[[], bytes],
         on_result: Callable[["Exchange", LeafAnswer | LeafFault], None],
         started_at: float,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> None:
         """Creates an exchange that has not been sent.
 
@@ -47,14 +48,16 @@
             request_id: Request id that the answer must echo.
             method: HTTP method.
             encode: Encodes the request. Called when it is sent, as it contains the time left then.
-            on_result: Called once with the result; not called if the exchange is abandoned before
-                its new connection is open.
+            on_result: Called once with the result.
             started_at: Clock when the leaf was chosen, in seconds.
+            may_send: Returns whether the leaf may still be used. Called when the request is about
+                to be written.
         """
         self.request_id = request_id
         self.method = method
         self.encode = encode
         self.started_at = started_at
+        self.may_send = may_send
         self.sent = False
         """Whether the request was written to the connection."""
         self.abandoned = False
--- a/filbertreach/gateway/_leaf_connection.py
+++ b/filbertreach/gateway/_leaf_connection.py
@@ -133,8 +133,8 @@
         self._transport = transport
         try:
             if self.exchange is not None and self.exchange.abandoned:
-                self._release_exchange()
-            if self.exchange is not None:
+                self._finish_unsent(self.exchange)
+            elif self.exchange is not None:
                 self._write(transport, self.exchange)
             else:
                 self._mark_idle()
@@ -144,6 +144,10 @@
             transport.abort()
 
     def _write(self, transport: asyncio.Transport, exchange: Exchange) -> None:
+        # Opening the connection may have taken longer than the leaf may be used.
+        if not exchange.may_send():
+            self._finish_unsent(exchange)
+            return
         self._parser.head_only = exchange.method == "HEAD"
         exchange.sent = True
         transport.write(exchange.encode())
@@ -208,6 +212,12 @@
         if self._is_reusable and not self._parser.in_message:
             self._mark_idle()
 
+    def _finish_unsent(self, exchange: Exchange) -> None:
+        """Completes an exchange that is not sent; the connection can take another one."""
+        self._release_exchange()
+        exchange.complete(LeafFault(FaultKind.UNREACHABLE, exchange.sent))
+        self._mark_idle()
+
     def _release_exchange(self) -> None:
         self.exchange = None
         self._scope.deadline = float("inf")
--- a/filbertreach/gateway/_service_call.py
+++ b/filbertreach/gateway/_service_call.py
@@ -211,6 +211,7 @@
             ),
             on_result=self._on_result,
             started_at=now,
+            may_send=lambda: clock.now() < handle.usable_until,
         )
         self.tried_leaf_ids.append(handle.leaf.id)
         self._first_sent_at = min(self._first_sent_at, now)
--- a/filbertreach/gateway/tests/test_leaf_connection.py
+++ b/filbertreach/gateway/tests/test_leaf_connection.py
@@ -54,7 +54,9 @@
         self.result_by_id: dict[str, LeafAnswer | LeafFault] = {}
         self._result_added = anyio.Event()
 
-    def exchange(self, request_id: str, method: str = "GET") -> Exchange:
+    def exchange(
+        self, request_id: str, method: str = "GET", may_send: Callable[[], bool] = lambda: True
+    ) -> Exchange:
         def on_result(exchange: Exchange, result: LeafAnswer | LeafFault) -> None:
             assert exchange.request_id not in self.result_by_id
             self.result_by_id[exchange.request_id] = result
@@ -66,6 +68,7 @@
             encode=lambda: f"{method} / HTTP/1.1\r\nx-request-id: {request_id}\r\n\r\n".encode(),
             on_result=on_result,
             started_at=0.0,
+            may_send=may_send,
         )
 
     async def result(self, request_id: str) -> LeafAnswer | LeafFault:
@@ -281,3 +284,40 @@
         assert owner.idle == [connection]
 
     anyio.run(_with_leaf, serve, test)
+
+
+async def _serve_nothing(stream: anyio.abc.SocketStream) -> None:
+    """Fails the test if the leaf receives any bytes."""
+    async with stream:
+        with pytest.raises(anyio.EndOfStream):
+            await stream.receive()
+
+
+def test_a_request_abandoned_while_its_connection_opens_has_a_result() -> None:
+    # Guards against counting the request as in flight for ever, which made the leaf look stuck.
+    async def test(connection: LeafConnection, owner: _Owner, caller: _Caller) -> None:
+        connection.abandon(linger_seconds=5.0)
+        result = await caller.result("one")
+        assert result == LeafFault(FaultKind.UNREACHABLE, sent=False)
+        assert owner.idle == [connection]
+
+    anyio.run(_with_leaf, _serve_nothing, test)
+
+
+@pytest.mark.parametrize("idle", [False, True])
+def test_nothing_is_sent_to_a_leaf_that_may_no_longer_be_used(idle: bool) -> None:
+    # Guards against requests after the draining bound: the bound may pass while the connection
+    # opens, or while this process is paused between the choice of the leaf and the write.
+    async def test(connection: LeafConnection, owner: _Owner, caller: _Caller) -> None:
+        if idle:
+            connection.abandon(linger_seconds=5.0)
+            await caller.result("one")
+            owner.idle.remove(connection)
+            connection.send(caller.exchange("two", may_send=lambda: False))
+        else:
+            connection.exchange = caller.exchange("two", may_send=lambda: False)
+        result = await caller.result("two")
+        assert result == LeafFault(FaultKind.UNREACHABLE, sent=False)
+        assert owner.idle == [connection]
+
+    anyio.run(_with_leaf, _serve_nothing, test)
