Answer requests that reach a stopping server before it closes

At a stop uvicorn closes its listener, which resets what waits in the backlog, and closes every connection without a request in progress, also one whose request lies unread in the receive buffer.

Ruled out: the end of the process. The caller was reset 1.2 s before it.

Change: the listener is closed while a duplicate keeps its backlog, whose connections are accepted; connections without a request stay open for 0.25 s, so that what is on its way is read and answered. HttpServer moved to a module of its own.

With the mechanism taken out, 8 of 18 cases fail.

--- a/filbertreach/observability/__init__.py
+++ b/filbertreach/observability/__init__.py
@@ -12,13 +12,13 @@
 from filbertreach.observability._health import (
     Application,
     Health,
-    HttpServer,
     Receive,
     Scope,
     Send,
     health_application,
     respond,
 )
+from filbertreach.observability._http_server import HttpServer
 from filbertreach.observability._logs import configure_bounded_logs, configure_logs, get_logger
 from filbertreach.observability._metrics import LATENCY_BUCKETS
 from filbertreach.observability._resources import raise_open_files_limit
--- a/filbertreach/observability/_daemon.py
+++ b/filbertreach/observability/_daemon.py
@@ -9,7 +9,8 @@
 
 import anyio
 
-from filbertreach.observability._health import Application, Health, HttpServer
+from filbertreach.observability._health import Application, Health
+from filbertreach.observability._http_server import HttpServer
 from filbertreach.observability._logs import configure_logs, get_logger
 from filbertreach.observability._resources import raise_open_files_limit
 from filbertreach.schema import Settings
--- a/filbertreach/observability/_health.py
+++ b/filbertreach/observability/_health.py
@@ -1,22 +1,16 @@
-"""HTTP server of a daemon, with the endpoints for liveness, readiness and metrics."""
+"""Readiness of a daemon, and its endpoints for liveness, readiness and metrics."""
 
-import contextlib
 import json
-from collections.abc import Awaitable, Callable, Iterator, MutableMapping
+from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
-import anyio
 import prometheus_client
-import uvicorn
 
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 Application = Callable[[Scope, Receive, Send], Awaitable[None]]
 
-_KEEP_ALIVE_SECONDS = 65
-"""Time after which an idle connection of an HTTP client is closed."""
-
 
 class Health:
     """Readiness state of a process, as reported to the platform's load balancer.
@@ -94,78 +88,3 @@
             await respond(send, 404, b'{"title": "not found"}\n', "application/problem+json")
 
     return application
-
-
-class _Server(uvicorn.Server):
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Installs no signal handlers; the daemon handles signals."""
-        yield
-
-
-class HttpServer:
-    """A uvicorn server that stops on request instead of on signals."""
-
-    def __init__(
-        self,
-        *,
-        address: str,
-        application: Application,
-        drain_seconds: float,
-        keep_alive_seconds: int = _KEEP_ALIVE_SECONDS,
-    ) -> None:
-        """Creates a server that is not running.
-
-        Args:
-            address: ip:port to listen on.
-            application: ASGI application.
-            drain_seconds: Maximum wait for requests in progress on shutdown.
-            keep_alive_seconds: Time after which an idle connection is closed.
-        """
-        host, port = address.rsplit(":", 1)
-        self._server = _Server(
-            uvicorn.Config(
-                application,
-                host=host,
-                port=int(port),
-                http="httptools",
-                log_config=None,
-                access_log=False,
-                lifespan="off",
-                ws="none",
-                server_header=False,
-                timeout_keep_alive=keep_alive_seconds,
-                timeout_graceful_shutdown=max(1, round(drain_seconds)),
-            )
-        )
-
-    async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
-        """Serves until `stop` is called.
-
-        Args:
-            task_status: Notified when the server listens.
-
-        Raises:
-            OSError: The server can't listen on the address.
-        """
-        failed = False
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._report_started, task_status)
-            try:
-                await self._server.serve()
-            except SystemExit:
-                failed = True
-            group.cancel_scope.cancel()
-        if failed:
-            # Raised outside the task group, which would wrap it in an exception group.
-            config = self._server.config
-            raise OSError(f"can't listen on {config.host}:{config.port}")
-
-    async def _report_started(self, task_status: anyio.abc.TaskStatus[None]) -> None:
-        while not self._server.started:
-            await anyio.sleep(0.005)
-        task_status.started()
-
-    def stop(self) -> None:
-        """Stops listening, and lets requests in progress finish."""
-        self._server.should_exit = True
--- /dev/null
+++ b/filbertreach/observability/tests/test_http_server.py
@@ -0,0 +1,100 @@
+"""The graceful stop of the HTTP server, over loopback sockets."""
+
+import socket
+from collections.abc import Awaitable, Callable
+
+import anyio
+import anyio.to_thread
+import pytest
+
+from filbertreach.observability import HttpServer, Receive, Scope, Send, respond
+from filbertreach_standins.fleet import free_address
+
+_SECONDS = 10.0
+"""Timeout of each test; a test that passes does not wait for it."""
+_REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+async def _application(scope: Scope, receive: Receive, send: Send) -> None:
+    await respond(send, 200, b"served", "text/plain")
+
+
+async def _with_server(test: Callable[[HttpServer, tuple[str, int]], Awaitable[None]]) -> None:
+    address = free_address()
+    host, port = address.split(":")
+    server = HttpServer(address=address, application=_application, drain_seconds=2.0)
+    with anyio.fail_after(_SECONDS):
+        async with anyio.create_task_group() as group:
+            await group.start(server.run)
+            await test(server, (host, int(port)))
+
+
+def _connect(address: tuple[str, int]) -> socket.socket:
+    return socket.create_connection(address, timeout=_SECONDS)
+
+
+async def _receive_answer(connection: socket.socket) -> None:
+    """Fails if the connection ends before the answer is complete."""
+    data = b""
+    while not data.endswith(b"served"):
+        chunk = await anyio.to_thread.run_sync(connection.recv, 65536)
+        assert chunk, "the connection was closed without a complete answer"
+        data += chunk
+
+
+def _run(test: Callable[[HttpServer, tuple[str, int]], Awaitable[None]], use_uvloop: bool) -> None:
+    anyio.run(_with_server, test, backend_options={"use_uvloop": use_uvloop})
+
+
+_event_loops = pytest.mark.parametrize("use_uvloop", [False, True])
+
+
+@_event_loops
+@pytest.mark.parametrize("count", [1, 50])
+def test_a_request_in_the_backlog_of_a_stopping_server_is_answered(
+    count: int, use_uvloop: bool
+) -> None:
+    # Guards against resetting connections that the system has accepted but the process has not.
+    async def test(server: HttpServer, address: tuple[str, int]) -> None:
+        # No await between connecting and stopping, so the server can't accept the connections.
+        connections = [_connect(address) for _ in range(count)]
+        for connection in connections:
+            connection.sendall(_REQUEST)
+        server.stop()
+        for connection in connections:
+            await _receive_answer(connection)
+
+    _run(test, use_uvloop)
+
+
+@_event_loops
+@pytest.mark.parametrize("used_before", [False, True])
+@pytest.mark.parametrize("part_sent", [0, 10, len(_REQUEST)])
+def test_a_request_on_its_way_to_a_stopping_server_is_answered(
+    used_before: bool, part_sent: int, use_uvloop: bool
+) -> None:
+    # Guards against closing a connection whose request is in the receive buffer or half read.
+    async def test(server: HttpServer, address: tuple[str, int]) -> None:
+        connection = _connect(address)
+        if used_before:
+            connection.sendall(_REQUEST)
+            await _receive_answer(connection)
+        else:
+            await anyio.sleep(0.05)
+        connection.sendall(_REQUEST[:part_sent])
+        server.stop()
+        await anyio.sleep(0.05)
+        connection.sendall(_REQUEST[part_sent:])
+        await _receive_answer(connection)
+
+    _run(test, use_uvloop)
+
+
+@_event_loops
+def test_a_stopped_server_refuses_connections(use_uvloop: bool) -> None:
+    async def test(server: HttpServer, address: tuple[str, int]) -> None:
+        server.stop()
+        with pytest.raises(ConnectionRefusedError):
+            _connect(address)
+
+    _run(test, use_uvloop)
