--- a/filbertreach/gateway/_leaf_connection.py
+++ b/filbertreach/gateway/_leaf_connection.py
@@ -82,6 +82,7 @@
                 await self._connect_and_wait()
         finally:
             exchange, self.exchange = self.exchange, None
+            self._parser.close()
             self._owner.on_closed(self)
             if exchange is not None:
                 exchange.complete(LeafFault(self._fault_kind, exchange.sent))
--- a/filbertreach/observability/_http_server.py
+++ b/filbertreach/observability/_http_server.py
@@ -10,12 +10,63 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from filbertreach.observability._health import Application
+from filbertreach.observability._logs import get_logger
 
 _KEEP_ALIVE_SECONDS = 65
 """Time after which an idle connection of an HTTP client is closed."""
 _LAST_REQUEST_SECONDS = 0.25
-"""Time after the listener is closed in which a request that is already on its way is still read from
+"""Time after the listener is closed in which a request that is already on its way is still read, on
 a connection without a request in progress."""
+_MAX_OVERHEAD_BYTES = 64 * 1024
+"""Bytes of a request other than its body: request line, headers, chunk framing and trailers."""
+_MAX_OVERHEAD_PER_BODY_BYTE = 8
+"""Additional overhead for each byte of the body; a chunk of one byte has five bytes of framing."""
+_HEAD_TOO_LARGE = b"HTTP/1.1 431 Request Header Fields Too Large\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+
+_LOGGER = get_logger(__name__)
+
+
+class _BoundedProtocol(HttpToolsProtocol):
+    """Closes a connection whose request has a head, chunk framing or trailers without end.
+
+    uvicorn does not limit them. It does limit how much of a body is read before the application
+    takes it, and the application limits the body.
+    """
+
+    _in_request = False
+    _overhead_bytes = 0
+    _body_bytes = 0
+
+    def on_message_begin(self) -> None:
+        """Starts a request."""
+        self._in_request = True
+        self._overhead_bytes = self._body_bytes = 0
+        super().on_message_begin()
+
+    def on_body(self, body: bytes) -> None:
+        """Counts a chunk of the body."""
+        self._body_bytes += len(body)
+        # Bytes of the body are no overhead; `data_received` adds them after the parser has run.
+        self._overhead_bytes -= len(body)
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Ends a request."""
+        self._in_request = False
+        super().on_message_complete()
+
+    def data_received(self, data: bytes) -> None:
+        """Parses bytes from the client, and checks the limit if the request is incomplete."""
+        super().data_received(data)
+        if not self._in_request or self.transport.is_closing():
+            return
+        self._overhead_bytes += len(data)
+        max_bytes = _MAX_OVERHEAD_BYTES + _MAX_OVERHEAD_PER_BODY_BYTE * self._body_bytes
+        if self._overhead_bytes > max_bytes:
+            _LOGGER.warning("request without end", client=self.client, max_bytes=max_bytes)
+            if self.cycle is None or self.cycle.response_complete:
+                self.transport.write(_HEAD_TOO_LARGE)
+            self.transport.close()
 
 
 class _Server(uvicorn.Server):
@@ -54,8 +105,8 @@
             task.add_done_callback(self.server_state.tasks.discard)
             self.server_state.tasks.add(task)  # type: ignore[arg-type]
 
-    def _create_protocol(self) -> HttpToolsProtocol:
-        return HttpToolsProtocol(
+    def _create_protocol(self) -> _BoundedProtocol:
+        return _BoundedProtocol(
             config=self.config, server_state=self.server_state, app_state=self.lifespan.state
         )
 
@@ -91,7 +142,7 @@
                 application,
                 host=host,
                 port=int(port),
-                http="httptools",
+                http=_BoundedProtocol,
                 log_config=None,
                 access_log=False,
                 lifespan="off",
--- a/filbertreach/observability/tests/test_http_server.py
+++ b/filbertreach/observability/tests/test_http_server.py
@@ -1,4 +1,4 @@
-"""The graceful stop of the HTTP server, over loopback sockets."""
+"""The graceful stop and the limits of the HTTP server, over loopback sockets."""
 
 import socket
 from collections.abc import Awaitable, Callable
@@ -98,3 +98,46 @@
             _connect(address)
 
     _run(test, use_uvloop)
+
+
+_CHUNKED = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@_event_loops
+@pytest.mark.parametrize(
+    ("start", "unit"),
+    [
+        (b"GET / HTTP/1.1\r\n", b"a: b\r\n"),
+        (b"GET / HTTP/1.1\r\na: ", b"x"),
+        (b"GET /", b"x"),
+        (_CHUNKED + b"1;", b"x"),
+        (_CHUNKED + b"0\r\n", b"a: b\r\n"),
+    ],
+    ids=["headers", "one header", "path", "chunk extension", "trailers"],
+)
+def test_a_request_without_end_closes_its_connection(
+    start: bytes, unit: bytes, use_uvloop: bool
+) -> None:
+    # Guards against a client that uses up the memory of the process.
+    async def test(server: HttpServer, address: tuple[str, int]) -> None:
+        def send_without_end() -> int:
+            sent = 0
+            with _connect(address) as connection:
+                try:
+                    connection.sendall(start)
+                    while sent < 64 * 1024 * 1024:
+                        connection.sendall(unit * (65536 // len(unit)))
+                        sent += 65536
+                except OSError:
+                    pass
+            return sent
+
+        sent = await anyio.to_thread.run_sync(send_without_end)
+        # Buffers of the system hold some megabytes beyond what the server has read.
+        assert sent < 32 * 1024 * 1024
+        connection = _connect(address)
+        connection.sendall(_REQUEST)
+        await _receive_answer(connection)
+        server.stop()
+
+    _run(test, use_uvloop)
