Start the gateway with its declared libraries only

Cause: httpcore imports trio where the host's Python has it, structlog's renderer rich and colorama.

Ruled out: compiling (byte code is cached), our own modules (41 of 333 ms with -S under load).

Test: the gateway starts with -S and the build's folder alone.

--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -2,6 +2,9 @@
 
 import pathlib
 import re
+import subprocess
+import sys
+import sysconfig
 import tomllib
 
 from filbertreach.gateway import _command as gateway_command
@@ -19,7 +22,16 @@
 def test_the_deploy_file_starts_the_gateway_and_exposes_its_listeners() -> None:
     system = tomllib.loads((_ROOT / "deploy/system.toml").read_text())
     role = system["roles"]["gateway"]
-    assert role["run"].split() == ["python3", "-m", "filbertreach.gateway"]
+    assert role["run"].split() == ["python3", "-S", "-m", "filbertreach.gateway"]
     assert role["serves"] == ["front", "control"]
     port = re.fullmatch(r"(\d+)/metrics", role["metrics"])
     assert port is not None and int(port.group(1)) == gateway_command._METRICS_PORT
+
+
+def test_the_gateway_starts_with_its_declared_dependencies_alone() -> None:
+    # Guards against an import of something that only the interpreter's own site-packages have.
+    libraries = sysconfig.get_path("purelib")
+    environment = {"PYTHONPATH": f"{libraries}:{_ROOT}", "PATH": "/usr/bin:/bin"}
+    command = [sys.executable, "-S", "-m", "filbertreach.gateway", "--help"]
+    result = subprocess.run(command, env=environment, capture_output=True, check=False)
+    assert result.returncode == 0, result.stderr
