--- a/filbertreach/observability/_http_server.py
+++ b/filbertreach/observability/_http_server.py
@@ -21,7 +21,10 @@
 """Bytes of a request other than its body: request line, headers, chunk framing and trailers."""
 _MAX_OVERHEAD_PER_BODY_BYTE = 8
 """Additional overhead for each byte of the body; a chunk of one byte has five bytes of framing."""
-_HEAD_TOO_LARGE = b"HTTP/1.1 431 Request Header Fields Too Large\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+_HEAD_TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
 
 _LOGGER = get_logger(__name__)
 
