End the gateway only once its caller server has stopped

Cause: found on reading the change of the stop. The process ended 0.1 s after its last request in progress, which cut the 0.25 s in which a request that is on its way is read. Now it ends once the caller server has closed its last connection, or at 0.92 of the grace period as before; the poll of requests in progress and the pause for flushing are gone. The test of requests on their way now ends with the server. A listener that can't accept for lack of descriptors is logged and does not end the process.

--- a/filbertreach/gateway/_command.py
+++ b/filbertreach/gateway/_command.py
@@ -43,8 +43,6 @@
 """Port of the metrics endpoint; must equal the port in deploy/system.toml."""
 _SETTINGS_CHECK_SECONDS = 2.0
 """Interval at which the modification time of the settings file is checked."""
-_DRAIN_POLL_SECONDS = 0.02
-_FLUSH_SECONDS = 0.1
 _KEEP_ALIVE_SECONDS = 75
 """Idle time after which the gateway closes a connection; longer than the time for which callers
 reuse an idle connection, so that no request is sent on a connection that is being closed."""
@@ -167,10 +165,7 @@
                 with anyio.move_on_after(
                     (_DRAIN_END_FRACTION - _DRAIN_START_FRACTION) * grace_seconds
                 ):
-                    while process.in_progress:
-                        await anyio.sleep(_DRAIN_POLL_SECONDS)
-                    # Let the servers write the answers of the last requests.
-                    await anyio.sleep(_FLUSH_SECONDS)
+                    await caller_server.wait_stopped()
                 _LOGGER.info("stopped", in_progress=process.in_progress)
                 ready_server.stop()
                 group.cancel_scope.cancel()
--- a/filbertreach/observability/_http_server.py
+++ b/filbertreach/observability/_http_server.py
@@ -104,6 +104,9 @@
             except ConnectionAbortedError:
                 # The client has closed the connection.
                 continue
+            except OSError as error:
+                _LOGGER.warning("cannot accept connections of the backlog", error=str(error))
+                return
             task = loop.create_task(loop.connect_accepted_socket(self._create_protocol, connection))
             task.add_done_callback(self.server_state.tasks.discard)
             self.server_state.tasks.add(task)  # type: ignore[arg-type]
@@ -155,6 +158,7 @@
                 timeout_graceful_shutdown=max(1, round(drain_seconds)),
             )
         )
+        self._stopped = anyio.Event()
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         """Serves until `stop` is called.
@@ -172,6 +176,8 @@
                 await self._server.serve()
             except SystemExit:
                 failed = True
+            finally:
+                self._stopped.set()
             group.cancel_scope.cancel()
         if failed:
             # Raised outside the task group, which would wrap it in an exception group.
@@ -187,3 +193,7 @@
         """Stops listening, and lets requests in progress and those already sent finish."""
         self._server.close_listeners()
         self._server.should_exit = True
+
+    async def wait_stopped(self) -> None:
+        """Returns once the last connection is closed after `stop`, or the drain time is over."""
+        await self._stopped.wait()
--- a/filbertreach/observability/tests/test_http_server.py
+++ b/filbertreach/observability/tests/test_http_server.py
@@ -85,6 +85,8 @@
         server.stop()
         await anyio.sleep(0.05)
         connection.sendall(_REQUEST[part_sent:])
+        # The process ends once the server has stopped, so the answer has to be sent by then.
+        await server.wait_stopped()
         await _receive_answer(connection)
 
     _run(test, use_uvloop)
