One place for the last write of the draining bound; close the listeners once

Found on the last read of the change: the end of the draining bound was computed in two places, the tests of departures repeated how a leaf departs, and the shutdown closed listeners that stop had closed.

--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -242,7 +242,7 @@
         handle.entry = entry
         handle.tracker.leaving = entry.leaving
         if entry.leaving:
-            self._depart(handle, until=since + self._drain_seconds - _DRAIN_MARGIN_SECONDS)
+            self._depart(handle, until=self._last_write_at(since))
         else:
             handle.usable_until = math.inf
             self._departure_by_id.pop(entry.leaf.id, None)
@@ -258,7 +258,7 @@
         if handle is None:
             return
         handle.tracker.leaving = True
-        until = since + self._drain_seconds - _DRAIN_MARGIN_SECONDS
+        until = self._last_write_at(since)
         if self._clock.now() - since > self._drain_seconds:
             # The store was unavailable since then, and entries of live leaves may have expired.
             until = math.inf
@@ -408,5 +408,9 @@
         handle.usable_until = min(handle.usable_until, until)
         self._departure_by_id[handle.leaf.id] = _Departure(started_at_ms, handle.usable_until, now)
 
+    def _last_write_at(self, departed_after: float) -> float:
+        """Returns the clock until which the draining bound allows a request to be written."""
+        return departed_after + self._drain_seconds - _DRAIN_MARGIN_SECONDS
+
     def _connections_per_host(self) -> int:
         return max(1, self._connections // self._sharing_hosts)
--- a/filbertreach/gateway/tests/test_service_pool.py
+++ b/filbertreach/gateway/tests/test_service_pool.py
@@ -30,6 +30,14 @@
     )
 
 
+def _depart(pool: ServicePool, *, removed: bool, since: float) -> None:
+    """Removes the entry of leaf "a", or reports that it is leaving."""
+    if removed:
+        pool.unlist_leaf("a", since=since)
+    else:
+        pool.update_leaf(_entry("a", "minho", leaving=True), since=since)
+
+
 def _near_and_far(clock: FakeClock) -> ServicePool:
     pool = _pool(clock)
     pool.update_leaf(_entry("far", "alentejo"), since=0.0)
@@ -135,10 +143,7 @@
     pool = _pool(clock)
     pool.update_leaf(_entry("a", "minho"), since=0.0)
     since = clock.now() - lag_seconds
-    if removed:
-        pool.unlist_leaf("a", since=since)
-    else:
-        pool.update_leaf(_entry("a", "minho", leaving=True), since=since)
+    _depart(pool, removed=removed, since=since)
     until = pool.handle_by_id["a"].usable_until
     assert until - clock.now() == pytest.approx(usable_seconds)
 
@@ -159,10 +164,7 @@
     clock = FakeClock(start=100.0)
     pool = _pool(clock)
     pool.update_leaf(_entry("a", "minho"), since=0.0)
-    if removed:
-        pool.unlist_leaf("a", since=95.0)
-    else:
-        pool.update_leaf(_entry("a", "minho", leaving=True), since=95.0)
+    _depart(pool, removed=removed, since=95.0)
     until = pool.handle_by_id["a"].usable_until
     assert until - clock.now() == pytest.approx(usable_seconds)
 
@@ -177,10 +179,7 @@
     clock = FakeClock(start=100.0)
     pool = _pool(clock)
     pool.update_leaf(_entry("a", "minho"), since=0.0)
-    if removed:
-        pool.unlist_leaf("a", since=100.0)
-    else:
-        pool.update_leaf(_entry("a", "minho", leaving=True), since=100.0)
+    _depart(pool, removed=removed, since=100.0)
     clock.advance(report_after_seconds)
     pool.remove_expired(clock.now())
     pool.update_leaf(_entry("a", "minho", leaving=True), since=clock.now())
--- a/filbertreach/observability/_http_server.py
+++ b/filbertreach/observability/_http_server.py
@@ -118,7 +118,6 @@
 
     async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
         """Closes the connections once their requests are answered; see `uvicorn.Server`."""
-        self.close_listeners()
         await asyncio.sleep(_LAST_REQUEST_SECONDS)
         await super().shutdown(sockets)
 
