Log and count leaves that name a request limit

The header is decoded in the adapter and kept for each leaf; a line says when a limit begins, changes and ends, with the calls of this host by kind meanwhile; a gauge and a counter hold the same over all leaves. Which leaf is chosen does not change. The header is no longer forwarded to callers: it is addressed to this tier, as the load report is. A load report of another leaf at the same address (421) is no longer recorded for the leaf that was meant.

--- a/filbertreach/gateway/_directory.py
+++ b/filbertreach/gateway/_directory.py
@@ -231,6 +231,10 @@
         """Returns the number of listed leaves, including those that are leaving."""
         return len(self._service_by_leaf)
 
+    def count_limited_leaves(self) -> int:
+        """Returns the number of leaves that name a request limit."""
+        return sum(pool.count_limited() for pool in self.pool_by_service.values())
+
     def set_host_count(self, host_count: int) -> None:
         """Sets the number of hosts that share the connections of each leaf.
 
--- a/filbertreach/gateway/_metrics.py
+++ b/filbertreach/gateway/_metrics.py
@@ -43,6 +43,14 @@
 BUDGET_REFUSALS = prometheus_client.Counter(
     "filbertreach_gateway_budget_refusals", "Second calls that the retry budget did not allow"
 )
+LIMITED_LEAVES = prometheus_client.Gauge(
+    "filbertreach_gateway_limited_leaves", "Leaves that name a request limit in their answers"
+)
+LIMITED_LEAF_CALLS = prometheus_client.Counter(
+    "filbertreach_gateway_limited_leaf_calls",
+    "Calls to leaves that have named a request limit: first, retry or hedge",
+    ["kind"],
+)
 CONNECTIONS = prometheus_client.Gauge(
     "filbertreach_gateway_leaf_connections", "Open connections to leaves"
 )
--- a/filbertreach/gateway/_process.py
+++ b/filbertreach/gateway/_process.py
@@ -15,6 +15,7 @@
     CALLERS_LEFT,
     FLEET_SIZE,
     LEAVES,
+    LIMITED_LEAVES,
     MISSING_SHARDS,
     REQUEST_SECONDS,
     REQUESTS,
@@ -117,6 +118,7 @@
         )
         REQUESTS_IN_PROGRESS.set_function(lambda: self._in_progress)
         LEAVES.set_function(self.directory.count_leaves)
+        LIMITED_LEAVES.set_function(self.directory.count_limited_leaves)
         self._update_health()
         return self
 
--- a/filbertreach/gateway/_service_call.py
+++ b/filbertreach/gateway/_service_call.py
@@ -3,7 +3,7 @@
 import enum
 import math
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 from filbertreach.decisions import LeafOutcome, may_hedge
 from filbertreach.document import Route
@@ -20,9 +20,7 @@
 from filbertreach.platform import CallerRequest, LeafAnswer, encode_leaf_request
 from filbertreach.timing import Clock
 
-_FIRST_CALLS = LEAF_CALLS.labels("first")
-_RETRIES = LEAF_CALLS.labels("retry")
-_HEDGES = LEAF_CALLS.labels("hedge")
+_CALLS = {kind: LEAF_CALLS.labels(kind) for kind in ("first", "retry", "hedge")}
 _OUTCOMES = {outcome: LEAF_OUTCOMES.labels(outcome.value) for outcome in LeafOutcome}
 _CHOICE_RETRY_SECONDS = 0.02
 """Time after which the choice of a leaf is repeated if no leaf or no budget was available."""
@@ -165,8 +163,7 @@
                 self._end_without_answer()
                 return
             self.extra_attempts += 1
-        (_RETRIES if self.tried_leaf_ids else _FIRST_CALLS).inc()
-        self._send(handle, now)
+        self._send(handle, now, kind="retry" if self.tried_leaf_ids else "first")
 
     def _send_hedge(self, now: float) -> None:
         context = self._context
@@ -195,10 +192,13 @@
             self.next_action_at = now + _CHOICE_RETRY_SECONDS
             return
         self.extra_attempts += 1
-        _HEDGES.inc()
-        self._send(handle, now)
+        self._send(handle, now, kind="hedge")
 
-    def _send(self, handle: LeafHandle, now: float) -> None:
+    def _send(
+        self, handle: LeafHandle, now: float, *, kind: Literal["first", "retry", "hedge"]
+    ) -> None:
+        _CALLS[kind].inc()
+        handle.request_limit.count_call(kind)
         context = self._context
         clock = context.clock
         exchange = Exchange(
@@ -235,10 +235,8 @@
         else:
             outcome = self._on_answer(exchange, result, now)
         if handle is not None:
-            if isinstance(result, LeafAnswer) and result.load is not None:
-                handle.tracker.record_load_report(result.load.running, result.load.queued, now)
-            if isinstance(result, LeafAnswer) and result.misdirected:
-                self.pool.on_misdirected(handle)
+            if isinstance(result, LeafAnswer):
+                self._record_reports(handle, exchange, result, now)
             if exchange.abandoned and outcome is not LeafOutcome.OK:
                 outcome = LeafOutcome.CANCELLED
             self.pool.record_finish(handle, exchange, outcome)
@@ -249,6 +247,21 @@
             self.next_action_at = now
         self._context.on_change(self)
 
+    def _record_reports(
+        self, handle: LeafHandle, exchange: Exchange, answer: LeafAnswer, now: float
+    ) -> None:
+        """Records what an answer says of its leaf."""
+        if answer.misdirected:
+            # The answer comes from another leaf.
+            self.pool.on_misdirected(handle)
+            return
+        if answer.load is not None:
+            handle.tracker.record_load_report(answer.load.running, answer.load.queued, now)
+        if answer.request_limit is not None:
+            handle.request_limit.on_named(answer.request_limit, now)
+        elif answer.is_success:
+            handle.request_limit.on_success(exchange.started_at, now)
+
     def _on_fault(self, handle: LeafHandle | None, fault: LeafFault) -> LeafOutcome:
         self.fault_reasons.append(fault.kind.value)
         if fault.sent:
--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -9,6 +9,7 @@
 from filbertreach.gateway._exchange import Exchange
 from filbertreach.gateway._leaf_connection import LeafConnection
 from filbertreach.gateway._metrics import CONNECTIONS, CONNECTIONS_OPENED
+from filbertreach.gateway._request_limit import RequestLimit
 from filbertreach.gateway._retry_budget import RetryBudget, RetryBudgetSettings
 from filbertreach.observability import get_logger
 from filbertreach.platform import LeafEntry
@@ -93,6 +94,7 @@
             stuck_factor=_STUCK_FACTOR,
         )
         self.tracker.distance_seconds = location.distance_seconds(entry.leaf)
+        self.request_limit = RequestLimit(leaf=entry.leaf.id, service=entry.service)
         self.usable_until = math.inf
         """Clock until which the leaf may be chosen as a last resort; infinite while it is listed as
         ready."""
@@ -232,6 +234,7 @@
         ):
             if handle is not None:
                 handle.close_idle()
+                handle.request_limit.on_removed(self._clock.now())
             handle = LeafHandle(
                 entry=entry,
                 location=self._location,
@@ -293,6 +296,7 @@
             if now > handle.usable_until:
                 handle.close_idle()
                 if not handle.tracker.in_flight:
+                    handle.request_limit.on_removed(now)
                     del self.handle_by_id[leaf_id]
         for leaf_id, departure in list(self._departure_by_id.items()):
             if now - departure.seen_at > _DEPARTURE_RETENTION_SECONDS:
@@ -391,6 +395,10 @@
         """
         return any(now < handle.usable_until for handle in self.handle_by_id.values())
 
+    def count_limited(self) -> int:
+        """Returns the number of leaves that name a request limit."""
+        return sum(h.request_limit.per_second is not None for h in self.handle_by_id.values())
+
     def _depart(self, handle: LeafHandle, *, until: float) -> None:
         """Limits the use of a leaf that is leaving or unlisted.
 
--- a/filbertreach/platform/_messages.py
+++ b/filbertreach/platform/_messages.py
@@ -1,5 +1,6 @@
 """HTTP requests and responses exchanged with callers and leaves."""
 
+import re
 from typing import NamedTuple
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -12,12 +13,14 @@
 _SIGNATURE = b"x-server-stamp"
 _EXPECTED_LEAF = b"x-expect-instance"
 _LOAD = b"x-server-load"
+_REQUEST_LIMIT = b"server-limit"
 _NOT_RUN = b"x-not-executed"
 _PART_SIGNATURES = b"X-Part-Stamps"
 _MISSING_PARTS = b"X-Missing-Parts"
 
 _RECORD_BYTES = 16
 """Size of one record in the response body of a shard."""
+_DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses by which a caller concludes that its request has not run."""
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -37,7 +40,7 @@
 )
 """Headers that are not forwarded: they apply to one connection or are set by each sender."""
 _INTERNAL_REQUEST_HEADERS = frozenset({_DEADLINE, _EXPECTED_LEAF, b"x-server-stamp"})
-_INTERNAL_RESPONSE_HEADERS = frozenset({_LOAD, _NOT_RUN, b"x-instance-id"})
+_INTERNAL_RESPONSE_HEADERS = frozenset({_LOAD, _REQUEST_LIMIT, _NOT_RUN, b"x-instance-id"})
 
 
 class CallerRequest(NamedTuple):
@@ -91,6 +94,9 @@
     """Whether a leaf other than the expected one responded (HTTP status 421)."""
     load: LeafLoad | None
     """Load report; None if there is no valid one."""
+    request_limit: float | None
+    """Requests per second that the leaf takes from all hosts together; None if it names no valid
+    limit."""
 
     @property
     def is_success(self) -> bool:
@@ -200,6 +206,7 @@
         not_run=_NOT_RUN in values or status == 421,
         misdirected=status == 421,
         load=_parse_load(values.get(_LOAD)),
+        request_limit=_parse_request_limit(values.get(_REQUEST_LIMIT)),
     )
 
 
@@ -212,6 +219,12 @@
     return LeafLoad(*(int(part) for part in parts))
 
 
+def _parse_request_limit(value: bytes | None) -> float | None:
+    if value is None or not _DECIMAL_NUMBER.fullmatch(value.strip()):
+        return None
+    return float(value)
+
+
 def forward_answer(answer: LeafAnswer) -> CallerAnswer:
     """Creates the response to a caller from the response of the leaf that ran its request.
 
--- a/filbertreach/platform/tests/test_adapter.py
+++ b/filbertreach/platform/tests/test_adapter.py
@@ -235,6 +235,27 @@
     assert _response(200, (b"x-server-load", value)).load == load
 
 
+@pytest.mark.parametrize(
+    ("value", "limit"),
+    [
+        (b"15.25", 15.25),
+        (b" 7 ", 7.0),
+        (b"0", 0.0),
+        (b"-1", None),
+        (b"nan", None),
+        (b"inf", None),
+        (b"1_000", None),
+        (b"many", None),
+        (b"", None),
+    ],
+)
+def test_request_limit_is_parsed(value: bytes, limit: float | None) -> None:
+    answer = _response(200, (b"server-limit", value))
+    assert answer.request_limit == limit
+    # It is meant for this tier, not for the caller.
+    assert answer.headers == ()
+
+
 def test_greatest_records_are_merged() -> None:
     request = read_request_head(method="GET", target=b"/", headers=[], body=b"")
     first = b"a" * 16 + b"d" * 16 + b"rest"
@@ -257,7 +278,7 @@
 
 # Without X-Deadline-Ms, which the protocol of this project to backend servers uses as well.
 _WIRE_NAMES = re.compile(
-    r"op/config|servers/|/-/|x-part|x-missing|x-server|x-not-exec|x-expect|x-request"
+    r"op/config|servers/|/-/|x-part|x-missing|x-server|server-limit|x-not-exec|x-expect|x-request"
     r"|route_kind|objective_ms|max_conns|top_k|at_rev|has_more|kv-|cold_left|loss_slack|drain_ms"
     r"|FILBERTREACH_BOOT",
     re.IGNORECASE,
