The size of the fleet does not fall while no seed answers

Found while looking for what a host's part of a limit rests on: a host that is cut off from the seeds counts itself alone after 25 s, and would then take what all hosts share. The size is unknown (None) until another host is known, and keeps its largest value while no seed answers. Parts of connections and of the retry slack are divided by at least 10 and 16 hosts as before, so they change only in fleets that are larger.

The new test fails without the change (1 instead of 4).

--- a/filbertreach/gateway/_neighbours.py
+++ b/filbertreach/gateway/_neighbours.py
@@ -87,6 +87,7 @@
         self._clock = clock
         self._sighting_by_name: dict[str, _Sighting] = {}
         self._reply_by_seed: dict[str, _SeedReply] = {}
+        self._fleet_size: int | None = None
         self._excluded_until_by_name: dict[str, float] = {}
         self._channel_by_address: dict[str, HttpChannel] = {}
         self._hosts_decoder = msgspec.json.Decoder(KnownHosts)
@@ -129,15 +130,26 @@
             reply["hosts"] = local
         return reply
 
-    def fleet_size(self) -> int:
-        """Returns the number of live hosts, the largest that this host or a seed knows of."""
+    def fleet_size(self) -> int | None:
+        """Returns the number of live hosts, the largest that this host or a seed knows of.
+
+        While no seed answers, hosts expire that may be alive, so the number does not fall.
+
+        Returns:
+            The number, this host included; None before another host is known.
+        """
         now = self._clock.now()
         totals = [
             reply.total
             for reply in self._reply_by_seed.values()
             if now - reply.received_at < _HOST_EXPIRY_SECONDS
         ]
-        return max([len(self._live_hosts(now)), *totals])
+        size = max([len(self._live_hosts(now)), *totals])
+        if totals or not self._seeds:
+            self._fleet_size = size
+        elif size > 1:
+            self._fleet_size = max(size, self._fleet_size or 1)
+        return self._fleet_size
 
     def _live_hosts(self, now: float) -> list[KnownHost]:
         """Drops expired hosts and returns this host and the remaining ones, sorted by name."""
--- a/filbertreach/gateway/_process.py
+++ b/filbertreach/gateway/_process.py
@@ -228,7 +228,7 @@
                     "pending": call.pending_leaf_id,
                 }
                 for call in result.calls
-                if call.fault_reasons or call.extra_attempts or call.answer is None
+                if call.fault_reasons or call.extra_attempts or (call.answer is None and call.done)
             ],
         )
 
@@ -271,8 +271,8 @@
         if pause:
             _LOGGER.warning("process was paused", seconds=round(pause, 3))
         self.directory.remove_expired(self._clock.now())
-        if self.neighbours is not None:
-            host_count = self.neighbours.fleet_size()
+        host_count = self.neighbours.fleet_size() if self.neighbours is not None else None
+        if host_count is not None:
             FLEET_SIZE.set(host_count)
             self._budget.set_host_count(host_count)
             self.directory.set_host_count(host_count)
--- a/filbertreach/gateway/tests/test_neighbours.py
+++ b/filbertreach/gateway/tests/test_neighbours.py
@@ -85,6 +85,36 @@
     assert neighbours.fleet_size() == 1
 
 
+def test_the_fleet_does_not_seem_to_shrink_while_no_seed_answers() -> None:
+    # Guards against hosts that are cut off from the seeds and then each take the part of all hosts.
+    async def run() -> None:
+        seed_clock, clock = FakeClock(), FakeClock()
+        seed_address = free_address()
+        seed = _neighbours(_ORDER[0], seed_clock)
+        for name in _NAMES:
+            seed.on_announcement(_host(name), known_digest="")
+        server = HttpServer(
+            address=seed_address,
+            application=neighbour_application(seed, ChangeLog(clock=seed_clock)),
+            drain_seconds=1.0,
+        )
+        other = _neighbours(_ORDER[1], clock, seeds=(seed_address,))
+        assert other.fleet_size() is None
+        async with other, anyio.create_task_group() as group:
+            await group.start(server.run)
+            group.start_soon(other.run)
+            with anyio.fail_after(20):
+                while other.fleet_size() is None:
+                    await anyio.sleep(0.02)
+            server.stop()
+            group.cancel_scope.cancel()
+        assert other.fleet_size() == 4
+        clock.advance(60.0)
+        assert other.fleet_size() == 4
+
+    anyio.run(run)
+
+
 def test_hosts_are_sent_only_if_the_digest_is_out_of_date() -> None:
     neighbours = _neighbours("front-1", FakeClock())
     first = neighbours.on_announcement(_host("front-2"), known_digest="")
@@ -127,7 +157,7 @@
             _serving(_ORDER[1], other, seeds) as (second, _),
         ):
             with anyio.fail_after(20):
-                while second.fleet_size() < 2 or first.fleet_size() < 2:
+                while (second.fleet_size() or 0) < 2 or (first.fleet_size() or 0) < 2:
                     await anyio.sleep(0.02)
             assert first.reader() is None
             reader = second.reader()
