Send each host's part of a leaf's request limit, and refuse at once what it leaves no room for

Cause: nothing read the limit, so first attempts went on as before. Class of fault: a permission that the other side states is not taken into account where the work is handed out.

Each leaf has a token bucket with this host's part, the limit divided by the hosts of the fleet. A leaf at its limit is left out of the choice of leaves, like one without a connection. The less urgent a request, the more of the burst it leaves; a hedge goes to such a leaf only if the part is unused. A scatter query that too few shards have room for is refused before anything is sent, with the time at which enough have room: a part that it used would be taken from queries that can be answered.

That a part is of use only where hosts have equally many callers is left open.

--- a/filbertreach/decisions/_waiting.py
+++ b/filbertreach/decisions/_waiting.py
@@ -302,14 +302,15 @@
         """
         super().__init__(settings)
         self._target_at = settings.started + settings.target_seconds
-        self._needed = math.ceil(
-            settings.least_coverage * settings.shards_total - _ROUNDING_TOLERANCE
+        self.needed = max(
+            1, math.ceil(settings.least_coverage * settings.shards_total - _ROUNDING_TOLERANCE)
         )
+        """Smallest number of shards for an answer."""
 
     @property
     def covered(self) -> bool:
         """Whether enough shards are included for an answer."""
-        return self._included >= max(1, self._needed)
+        return self._included >= self.needed
 
     def stop_waiting(self, now: float) -> bool:
         """Returns whether the wait is over, or can't lead to an answer any more."""
@@ -317,7 +318,7 @@
             return True
         if self.covered:
             return now >= self._target_at
-        return self._included + self.pending < self._needed
+        return self._included + self.pending < self.needed
 
     def next_check(self, now: float) -> float | None:
         """Returns the target, then the deadline."""
--- a/filbertreach/gateway/_directory.py
+++ b/filbertreach/gateway/_directory.py
@@ -72,7 +72,7 @@
         self._drain_seconds = drain_seconds
         self._spawn = spawn
         self._on_change = on_change
-        self._host_count = 1
+        self._host_count: int | None = None
         self._service_by_leaf: dict[str, str] = {}
         self._statistics_by_route: dict[str, RouteStatistics] = {}
 
@@ -176,7 +176,8 @@
                 clock=self._clock,
                 spawn=self._spawn,
             )
-            pool.set_host_count(self._host_count)
+            if self._host_count is not None:
+                pool.set_host_count(self._host_count)
             self.pool_by_service[service] = pool
         return pool
 
@@ -236,7 +237,7 @@
         return sum(pool.count_limited() for pool in self.pool_by_service.values())
 
     def set_host_count(self, host_count: int) -> None:
-        """Sets the number of hosts that share the connections of each leaf.
+        """Sets the number of hosts that share the connections and the request limit of each leaf.
 
         Args:
             host_count: Number of known hosts, this one included.
--- a/filbertreach/gateway/_query.py
+++ b/filbertreach/gateway/_query.py
@@ -40,7 +40,7 @@
     answer: CallerAnswer
     """Answer to the caller."""
     outcome: str
-    """answered, partial, leaf_answer, not_run, timeout or failed."""
+    """answered, partial, leaf_answer, not_run, limited, timeout or failed."""
     included: int
     """Number of shards included in the answer."""
     calls: tuple[ServiceCall, ...]
@@ -83,11 +83,12 @@
         self.deadline_at = arrived_at + max(0.0, wait_seconds - _DEADLINE_RESERVE_SECONDS)
         self._clock = clock
         target_seconds = max(0.0, route.objective_seconds - _CALLER_RESERVE_SECONDS)
+        self._target_at = arrived_at + target_seconds
         context = CallContext(
             request=request,
             route=route,
             deadline_at=self.deadline_at,
-            target_at=arrived_at + target_seconds,
+            target_at=self._target_at,
             clock=clock,
             attempt_latencies=attempt_latencies,
             on_change=self._on_change,
@@ -116,6 +117,9 @@
         Returns:
             The answer and its outcome.
         """
+        refusal = self._refuse_if_unavailable(self._clock.now())
+        if refusal is not None:
+            return refusal
         for number, call in enumerate(self.calls, start=1):
             now = self._clock.now()
             call.pool.budget.count_request(now)
@@ -136,6 +140,23 @@
             if not self._changed_calls:
                 await self._wait_for_event(now)
 
+    def _refuse_if_unavailable(self, now: float) -> QueryResult | None:
+        """Refuses a query for which too few shards have a leaf that may be called.
+
+        Nothing is sent, so that what the request limits of the leaves allow is left for queries
+        that can be answered. A request to a single service may wait until its target.
+        """
+        available_at_by_call = {call: call.available_at(now) for call in self.calls}
+        available_at = sorted(available_at_by_call.values())[self._wait.needed - 1]
+        if available_at <= (now if self.route.shards else max(now, self._target_at)):
+            return None
+        for call, call_available_at in available_at_by_call.items():
+            if call_available_at > now:
+                call.refuse("request limit" if call_available_at < math.inf else "no leaf")
+        if available_at == math.inf:
+            return QueryResult(_refuse_not_run(), "not_run", 0, self.calls)
+        return QueryResult(_refuse_not_run(available_at - now), "limited", 0, self.calls)
+
     def _advance(self, call: ServiceCall, now: float) -> None:
         """Advances a call, then counts it if it has ended or schedules its next action."""
         if not call.done:
@@ -205,10 +226,19 @@
 
     def _build_failure(self, included: int) -> QueryResult:
         if all(call.state is CallState.NOT_RUN for call in self.calls):
-            seconds = _RETRY_AFTER_SECONDS * (1.0 + random.random())
-            answer = refuse(503, "no leaf could take it", retry_after_seconds=seconds)
-            return QueryResult(answer, "not_run", included, self.calls)
+            return QueryResult(_refuse_not_run(), "not_run", included, self.calls)
         if self._clock.now() >= self.deadline_at:
             return QueryResult(refuse(504, "no answer in time"), "timeout", included, self.calls)
         answer = refuse(502, "the leaves did not answer")
         return QueryResult(answer, "failed", included, self.calls)
+
+
+def _refuse_not_run(available_in_seconds: float = 0.0) -> CallerAnswer:
+    """Creates the refusal of a request that no leaf has run.
+
+    Args:
+        available_in_seconds: Time until leaves may be called.
+    """
+    # Spread, so that callers which were refused together do not return together.
+    seconds = max(_RETRY_AFTER_SECONDS, available_in_seconds) * (1.0 + random.random())
+    return refuse(503, "no leaf could take it", retry_after_seconds=seconds)
--- a/filbertreach/gateway/_request_limit.py
+++ b/filbertreach/gateway/_request_limit.py
@@ -2,6 +2,7 @@
 
 import collections
 import math
+import random
 
 from filbertreach.gateway._metrics import LIMITED_LEAF_CALLS
 from filbertreach.observability import get_logger
@@ -10,35 +11,85 @@
 
 _LOGGED_CHANGE = 0.1
 """Relative change of a limit that is worth a log line."""
+_UNKNOWN_FLEET_HOSTS = 16
+"""Number of hosts assumed to share a limit until this host knows how many there are."""
+_MIN_PER_SECOND = 0.5
+"""A leaf that names less is still asked this often by all hosts together. Otherwise no answer would
+show that its limit has ended."""
+_BURST_SECONDS = 1.0
+"""Time for which unused requests are saved for a burst."""
+_ROUNDING_TOLERANCE = 1e-9
 
 
 class RequestLimit:
-    """The limit that a leaf names in its answers, in force until it answers without one."""
+    """The limit that a leaf names in its answers, in force until it answers without one.
 
-    def __init__(self, *, leaf: str, service: str) -> None:
+    Each host sends its part of the limit, by a token bucket. Hosts do not coordinate their buckets,
+    so a bucket starts at a random level: hosts that learn of a limit at the same time, and may each
+    send less than one request per second, would otherwise send their first requests together.
+    """
+
+    def __init__(self, *, leaf: str, service: str, hosts: int | None) -> None:
         """Creates the state of a leaf that has named no limit.
 
         Args:
             leaf: Id of the leaf.
             service: Its service.
+            hosts: Number of hosts that share the limit, this one included; None if unknown.
         """
         self.per_second: float | None = None
         """Requests per second from all hosts together; None while there is no limit."""
+        self.hosts = hosts
+        """Number of hosts that share the limit, this one included; None if unknown."""
         self._leaf = leaf
         self._service = service
         self._named_at = -math.inf
         self._limited_since = math.inf
+        self._tokens = 0.0
+        self._refilled_at = 0.0
         self._count_by_kind: collections.Counter[str] = collections.Counter()
 
-    def count_call(self, kind: str) -> None:
+    def available_at(self, now: float, *, priority: int = 0) -> float:
+        """Returns the clock from which a call may be sent; in the past if it may be sent now.
+
+        The less urgent a call is, the more of the burst has to be left after it, so that urgent
+        calls find requests even if the others want more than the limit.
+
+        Args:
+            now: Current clock, in seconds.
+            priority: Rank of the call, 0 for the most urgent ones.
+        """
+        if self.per_second is None:
+            return -math.inf
+        self._refill(now)
+        kept = (self._burst - 1.0) * (1.0 - 1.0 / (1 + priority))
+        missing = 1.0 + kept - self._tokens
+        return now + missing / self._own_per_second if missing > _ROUNDING_TOLERANCE else now
+
+    def is_unused(self, now: float) -> bool:
+        """Returns whether this host has not used its part for a while, or there is no limit.
+
+        Args:
+            now: Current clock, in seconds.
+        """
+        if self.per_second is None:
+            return True
+        self._refill(now)
+        return self._tokens >= self._burst - _ROUNDING_TOLERANCE
+
+    def count_call(self, kind: str, now: float) -> None:
         """Counts a call that is sent to the leaf.
 
         Args:
             kind: first, retry or hedge.
+            now: Current clock, in seconds.
         """
-        if self.per_second is not None:
-            self._count_by_kind[kind] += 1
-            LIMITED_LEAF_CALLS.labels(kind).inc()
+        if self.per_second is None:
+            return
+        self._refill(now)
+        self._tokens -= 1.0
+        self._count_by_kind[kind] += 1
+        LIMITED_LEAF_CALLS.labels(kind).inc()
 
     def on_named(self, per_second: float, now: float) -> None:
         """Applies the limit that an answer names.
@@ -47,9 +98,13 @@
             per_second: Requests per second from all hosts together.
             now: Current clock, in seconds.
         """
-        old, self.per_second, self._named_at = self.per_second, per_second, now
+        old = self.per_second
+        if old is not None:
+            self._refill(now)
+        self.per_second, self._named_at = per_second, now
         if old is None:
-            self._limited_since = now
+            self._limited_since = self._refilled_at = now
+            self._tokens = random.random()
         if old is None or abs(per_second - old) > _LOGGED_CHANGE * old:
             _LOGGER.info(
                 "leaf limits its requests",
@@ -57,6 +112,7 @@
                 service=self._service,
                 per_second=per_second,
                 was=old,
+                hosts=self.hosts,
             )
 
     def on_success(self, sent_at: float, now: float) -> None:
@@ -79,6 +135,21 @@
         if self.per_second is not None:
             self._lift("leaf removed", now)
 
+    @property
+    def _own_per_second(self) -> float:
+        """Requests per second that this host may send."""
+        assert self.per_second is not None
+        hosts = _UNKNOWN_FLEET_HOSTS if self.hosts is None else self.hosts
+        return max(self.per_second, _MIN_PER_SECOND) / hosts
+
+    @property
+    def _burst(self) -> float:
+        return max(1.0, 1.0 + self._own_per_second * _BURST_SECONDS)
+
+    def _refill(self, now: float) -> None:
+        elapsed, self._refilled_at = now - self._refilled_at, now
+        self._tokens = min(self._burst, self._tokens + elapsed * self._own_per_second)
+
     def _lift(self, reason: str, now: float) -> None:
         _LOGGER.info(
             "leaf no longer limits its requests",
--- a/filbertreach/gateway/_service_call.py
+++ b/filbertreach/gateway/_service_call.py
@@ -131,6 +131,23 @@
         else:
             self._send_hedge(now)
 
+    def available_at(self, now: float) -> float:
+        """Returns the clock from which the first attempt may be sent; see `ServicePool`.
+
+        Args:
+            now: Current clock, in seconds.
+        """
+        return self.pool.available_at(now, priority=self._context.route.priority)
+
+    def refuse(self, reason: str) -> None:
+        """Ends the call before anything was sent.
+
+        Args:
+            reason: Reason for the log.
+        """
+        self.fault_reasons.append(reason)
+        self._end_without_answer()
+
     def _send_attempt(self, now: float) -> None:
         context = self._context
         if (
@@ -143,6 +160,7 @@
             tried=(*self.tried_leaf_ids, *self._unreachable_leaf_ids),
             now=now,
             repeatable=context.route.idempotent,
+            priority=context.route.priority,
             typical_seconds=context.attempt_latencies.typical_seconds,
         )
         if handle is None:
@@ -153,8 +171,7 @@
             if tried_all or not self.pool.has_leaves(now):
                 self._end_without_answer()
             else:
-                self._unreachable_leaf_ids.clear()
-                self.next_action_at = now + _CHOICE_RETRY_SECONDS
+                self._wait_for_leaf(now)
             return
         if self.tried_leaf_ids:
             if not self.pool.budget.try_acquire(now):
@@ -165,6 +182,26 @@
             self.extra_attempts += 1
         self._send(handle, now, kind="retry" if self.tried_leaf_ids else "first")
 
+    def _wait_for_leaf(self, now: float) -> None:
+        """Schedules the next choice of a leaf; ends the call if request limits forbid it too long.
+
+        A scatter query does not wait for a shard whose leaves are at their limit: later queries
+        need what the limit allows then.
+        """
+        context = self._context
+        available_at = self.pool.available_at(
+            now, tried=self.tried_leaf_ids, priority=context.route.priority
+        )
+        is_limited = now < available_at < math.inf
+        if is_limited and (context.route.shards or available_at > context.target_at):
+            self.fault_reasons.append("request limit")
+            self._end_without_answer()
+            return
+        self._unreachable_leaf_ids.clear()
+        self.next_action_at = now + _CHOICE_RETRY_SECONDS
+        if is_limited:
+            self.next_action_at = max(self.next_action_at, available_at)
+
     def _send_hedge(self, now: float) -> None:
         context = self._context
         self.next_action_at = math.inf
@@ -180,6 +217,8 @@
         handle = self.pool.choose(
             tried=(*self.tried_leaf_ids, *self._unreachable_leaf_ids),
             now=now,
+            priority=context.route.priority,
+            hedge=True,
             typical_seconds=context.attempt_latencies.typical_seconds,
         )
         if handle is None:
@@ -198,7 +237,7 @@
         self, handle: LeafHandle, now: float, *, kind: Literal["first", "retry", "hedge"]
     ) -> None:
         _CALLS[kind].inc()
-        handle.request_limit.count_call(kind)
+        handle.request_limit.count_call(kind, now)
         context = self._context
         clock = context.clock
         exchange = Exchange(
--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -75,7 +75,13 @@
     """A leaf with its observed state and the connections to it."""
 
     def __init__(
-        self, *, entry: LeafEntry, location: Location, connections: int, clock: Clock
+        self,
+        *,
+        entry: LeafEntry,
+        location: Location,
+        connections: int,
+        hosts: int | None,
+        clock: Clock,
     ) -> None:
         """Creates a handle without connections.
 
@@ -83,6 +89,7 @@
             entry: Entry of the leaf in the store.
             location: Region and data centre of this host.
             connections: Largest number of connections that this host may open.
+            hosts: Number of hosts that call the leaf, this one included; None if unknown.
             clock: Source of time.
         """
         self.entry = entry
@@ -94,7 +101,7 @@
             stuck_factor=_STUCK_FACTOR,
         )
         self.tracker.distance_seconds = location.distance_seconds(entry.leaf)
-        self.request_limit = RequestLimit(leaf=entry.leaf.id, service=entry.service)
+        self.request_limit = RequestLimit(leaf=entry.leaf.id, service=entry.service, hosts=hosts)
         self.usable_until = math.inf
         """Clock until which the leaf may be chosen as a last resort; infinite while it is listed as
         ready."""
@@ -195,7 +202,7 @@
         self._spawn = spawn
         self._chooser: ReplicaPolicy = make_replica_policy(name="least_expected_wait")
         self._connections = _DEFAULT_CONNECTIONS
-        self._sharing_hosts = _MIN_SHARING_HOSTS
+        self._host_count: int | None = None
 
     def set_connections(self, connections: int) -> None:
         """Sets the number of connections that each leaf accepts.
@@ -207,13 +214,15 @@
         self._update_connection_limits()
 
     def set_host_count(self, host_count: int) -> None:
-        """Sets the number of hosts that share the connections of each leaf.
+        """Sets the number of hosts that share the connections and the request limit of each leaf.
 
         Args:
             host_count: Number of known hosts, this one included.
         """
-        self._sharing_hosts = max(_MIN_SHARING_HOSTS, host_count)
+        self._host_count = host_count
         self._update_connection_limits()
+        for handle in self.handle_by_id.values():
+            handle.request_limit.hosts = host_count
 
     def _update_connection_limits(self) -> None:
         for handle in self.handle_by_id.values():
@@ -239,6 +248,7 @@
                 entry=entry,
                 location=self._location,
                 connections=self._connections_per_host(),
+                hosts=self._host_count,
                 clock=self._clock,
             )
             self.handle_by_id[entry.leaf.id] = handle
@@ -308,6 +318,8 @@
         tried: Collection[str],
         now: float,
         repeatable: bool = True,
+        priority: int = 0,
+        hedge: bool = False,
         typical_seconds: float | None = None,
     ) -> LeafHandle | None:
         """Chooses the leaf for a request.
@@ -316,6 +328,9 @@
             tried: Ids of leaves that are not to be chosen, as they were tried before.
             now: Current clock, in seconds.
             repeatable: Whether the request may be sent again if it is lost.
+            priority: Rank of the request, 0 for the most urgent ones.
+            hedge: Whether another leaf already runs the request. A leaf with a request limit then
+                gets it only if this host does not need its part of the limit for other requests.
             typical_seconds: Median latency of the route over all its services, assumed for leaves
                 without samples. A service has few leaves, and an unknown leaf is mostly faster than
                 a slow one, so the latencies of the service alone would mislead.
@@ -327,6 +342,11 @@
         for leaf_id, handle in self.handle_by_id.items():
             if leaf_id in tried or not handle.has_connection:
                 continue
+            limit = handle.request_limit
+            if limit.available_at(now, priority=priority) > now or (
+                hedge and not limit.is_unused(now)
+            ):
+                continue
             if handle.usable_until == math.inf:
                 listed.append(handle)
             elif now < handle.usable_until:
@@ -387,6 +407,27 @@
         now = self._clock.now()
         handle.tracker.record_finish(outcome, now - exchange.started_at, now)
 
+    def available_at(self, now: float, *, tried: Collection[str] = (), priority: int = 0) -> float:
+        """Returns the clock from which the request limits of the leaves allow a request.
+
+        Args:
+            now: Current clock, in seconds.
+            tried: Ids of leaves that are not to be chosen, as they were tried before.
+            priority: Rank of the request, 0 for the most urgent ones.
+
+        Returns:
+            A clock in seconds; in the past if a leaf may get the request now, infinite if no leaf
+            is known.
+        """
+        return min(
+            (
+                handle.request_limit.available_at(now, priority=priority)
+                for leaf_id, handle in self.handle_by_id.items()
+                if leaf_id not in tried and now < handle.usable_until
+            ),
+            default=math.inf,
+        )
+
     def has_leaves(self, now: float) -> bool:
         """Returns whether any leaf may be chosen, now or once it has room.
 
@@ -421,4 +462,5 @@
         return departed_after + self._drain_seconds - _DRAIN_MARGIN_SECONDS
 
     def _connections_per_host(self) -> int:
-        return max(1, self._connections // self._sharing_hosts)
+        sharing_hosts = max(_MIN_SHARING_HOSTS, self._host_count or 0)
+        return max(1, self._connections // sharing_hosts)
--- a/filbertreach/gateway/tests/test_query.py
+++ b/filbertreach/gateway/tests/test_query.py
@@ -60,6 +60,7 @@
             "late-error": (500, b""),
             "absent": (404, b""),
             "other": (421, b""),
+            "limited": (200, b"Server-Limit: 0\r\n"),
         }.get(step, (200, b""))
         stamp = (
             b"" if step in ("refuse", "other") else b"X-Server-Stamp: " + self.body[:4] + b"\r\n"
@@ -326,6 +327,51 @@
     _run({"a": ["other", "ok"]}, test)
 
 
+def test_a_query_without_enough_shards_below_their_limit_is_refused_at_once() -> None:
+    # Guards against queries that use up what limited leaves take and are then not answered.
+    async def test(fleet: _Fleet) -> None:
+        clock = SystemClock()
+        assert (await _query(fleet, least=1.0).run()).answer.status == 200
+        started = clock.now()
+        result = await _query(fleet, least=1.0).run()
+        assert (result.answer.status, result.outcome) == (503, "limited")
+        assert float(_headers(result)[b"retry-after"]) >= 1.0
+        assert clock.now() - started < 0.1
+        assert [len(fleet.leaves[service][0].requests) for service in "ab"] == [1, 1]
+        # With fewer shards, the query is answered without the one at its limit.
+        result = await _query(fleet, least=0.5).run()
+        assert (result.answer.status, result.outcome) == (200, "partial")
+        assert _headers(result)[b"x-missing-parts"] == b"1"
+        assert [len(fleet.leaves[service][0].requests) for service in "ab"] == [1, 2]
+
+    _run({"a": ["limited"], "b": ["ok"]}, test)
+
+
+def test_the_other_leaf_is_used_when_one_is_at_its_limit() -> None:
+    async def test(fleet: _Fleet) -> None:
+        for _ in range(4):
+            assert (await _query(fleet, scatter=False).run()).answer.status == 200
+        assert [len(leaf.requests) for leaf in fleet.leaves["a"]] == [1, 3]
+
+    _run({"a": ["limited", "ok"]}, test)
+
+
+def test_a_single_request_waits_for_a_limited_leaf_only_until_its_target() -> None:
+    async def test(fleet: _Fleet) -> None:
+        assert (await _query(fleet, scatter=False).run()).answer.status == 200
+        result = await _query(fleet, scatter=False, objective=0.1).run()
+        assert (result.answer.status, result.outcome) == (503, "limited")
+        limit = fleet.pools[0].handle_by_id["a-0"].request_limit
+        limit.hosts = 1
+        limit.on_named(20.0, SystemClock().now())
+        # The part of the limit that it waits for is 50 ms away at most after the first token.
+        for _ in range(3):
+            result = await _query(fleet, scatter=False, objective=3.0, timeout=4.0).run()
+            assert result.answer.status == 200
+
+    _run({"a": ["limited"]}, test)
+
+
 def test_attempts_are_never_exceeded() -> None:
     async def test(fleet: _Fleet) -> None:
         result = await _query(fleet, scatter=False, attempts=2).run()
