A test that requests late in a planned stop are answered

Report of another operator: requests that come late in the grace period are taken and passed on, and cut without an answer at its end. Played with a gateway process: eight kept connections, one request every 0.2 s after SIGTERM, leaves that need longer than the process has left, a route that may be repeated and one that may not. It can't happen here: every request gets 504, or 502 when the process ends, and none that has run gets 503.

--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -1,6 +1,7 @@
 """Tests gateway processes in front of a failing deployment, as seen by callers and leaves."""
 
 import contextlib
+import http.client
 import pathlib
 import signal
 import threading
@@ -149,6 +150,43 @@
     ), failed
 
 
+@pytest.mark.parametrize("path", ["/v1/x", "/single/x"])
+def test_requests_late_in_a_planned_stop_are_answered(deployment: Deployment, path: str) -> None:
+    """Guards against requests that are taken late in a stop and cut off when the process ends.
+
+    The leaves need longer than the process has left, so it answers without them.
+    """
+    gateway = deployment.gateways[1]
+    connections = [gateway.connect() for _ in range(8)]
+    for connection in connections:
+        assert gateway.request("/v1/x", connection=connection).status == 200
+    for leaf in deployment.leaves:
+        leaf.reset()
+        leaf.set_faults(work_ms=GRACE_SECONDS * 1000)
+    responses: dict[str, Response] = {}
+    exit_codes: list[int] = []
+
+    def call(number: int, connection: http.client.HTTPConnection) -> None:
+        time.sleep(0.2 * number)
+        request_id = f"late-{number}"
+        responses[request_id] = gateway.request(path, request_id, connection=connection)
+
+    threads = [
+        threading.Thread(target=call, args=(number, connection))
+        for number, connection in enumerate(connections)
+    ]
+    threads.append(threading.Thread(target=lambda: exit_codes.append(gateway.stop())))
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert exit_codes == [0]
+    assert {response.status for response in responses.values()} <= {502, 503, 504}, responses
+    executed = {e["id"] for leaf in deployment.leaves for e in leaf.executions()}
+    refused = {request_id for request_id, r in responses.items() if r.status == 503}
+    assert not executed & refused
+
+
 def test_a_draining_leaf_gets_no_request_from_any_gateway(deployment: Deployment) -> None:
     leaf = deployment.leaves[0]
     deployment.write_leaf_entry(leaf, "draining")
