Soak: leaves that limit their requests

A leaf of the stand-in names a limit in its answers; a run of the kind 'leaf limits its requests' checks what the leaf got from gateways that knew the limit, in windows of 4 s.

--- a/filbertreach_standins/deployment/_leaf.py
+++ b/filbertreach_standins/deployment/_leaf.py
@@ -13,6 +13,12 @@
 DEPLOYMENT_LEAF_FAULTS = (
     Fault("work_ms", 5.0, non_negative_number, "time that a request takes"),
     Fault("grey", 0.0, non_negative_number, "share of the requests that fail with 500"),
+    Fault(
+        "request_limit",
+        0.0,
+        non_negative_number,
+        "requests per second that answers name as the limit of the leaf; 0: none",
+    ),
     Fault("hang", False, one_of(False, True), "true: requests are never answered"),
 )
 """Faults in addition to `CONNECTION_FAULTS`."""
@@ -77,4 +83,6 @@
         status = 500 if self.generator.random() < self.faults.value("grey") else 200
         stamp = f"{self._leaf_id}.{request_id.decode()}.{execution_count}.{status}".encode()
         stamp_headers = [(b"x-request-id", request_id), (b"x-server-stamp", stamp)]
+        if limit := self.faults.value("request_limit"):
+            stamp_headers.append((b"server-limit", str(limit).encode()))
         await send_bytes(send, status, records_of(self._leaf_id), stamp_headers)
--- a/filbertreach_standins/gateways/_checker.py
+++ b/filbertreach_standins/gateways/_checker.py
@@ -11,6 +11,14 @@
 """Window of the retry budget."""
 RETRY_RATIO = 0.2
 """Retries and hedges that a service may get for each request."""
+LIMIT_WINDOW_SECONDS = 4.0
+"""Window in which the requests to a leaf with a request limit are counted."""
+LIMIT_TOLERANCE = 1.5
+"""Multiple of its limit that a leaf may get, as gateways do not coordinate their requests."""
+LIMIT_SLACK = 5
+"""Requests that it may get in a window in addition."""
+LIMIT_LEARN_SECONDS = 0.5
+"""Time from an answer that names a limit until the gateway must apply it."""
 LEAF_FAULT = "leaf fails"
 """Kind of fault in which one leaf fails."""
 LEAF_LINK_FAULT = "connections to a leaf fail"
@@ -197,6 +205,37 @@
                 )
 
 
+@_guarantee("request limit")
+def limited_leaves_get_what_they_take(record: RunRecord) -> Iterator[str]:
+    """Yields leaves that got more than their limit from stable gateways that knew it."""
+    request_by_id = {request.request_id: request for request in record.requests}
+    for limit in record.leaf_limits:
+        allowed = LIMIT_TOLERANCE * LIMIT_WINDOW_SECONDS * limit.per_second + LIMIT_SLACK
+        learned_at: dict[tuple[str, int], float] = {}
+        counted: list[float] = []
+        for execution in sorted(record.executions, key=lambda execution: execution.at):
+            request = request_by_id.get(execution.id)
+            during = limit.started_at < execution.at < limit.ended_at
+            if execution.leaf != limit.leaf or not during or request is None:
+                continue
+            process = (request.gateway, request.incarnation)
+            # The answer reaches the gateway before the request of its caller ends.
+            learned = learned_at.setdefault(process, request.ended_at) + LIMIT_LEARN_SECONDS
+            checked_from = max(learned, limit.started_at + STABLE_SECONDS)
+            if execution.at > checked_from and _is_stable(
+                record, request.gateway, request.sent_at, execution.at
+            ):
+                counted.append(execution.at)
+        for end in counted:
+            count = sum(end - LIMIT_WINDOW_SECONDS < at <= end for at in counted)
+            if count > allowed:
+                yield (
+                    f"{limit.leaf} got {count} requests in 4 s, but its limit of "
+                    f"{limit.per_second} per second allows {allowed:.0f}"
+                )
+                break
+
+
 @_guarantee("planned stops")
 def planned_stops_interrupt_no_request(record: RunRecord) -> Iterator[str]:
     """Yields planned stops that failed, and executed requests that were interrupted by one."""
--- a/filbertreach_standins/gateways/_fault_kinds.py
+++ b/filbertreach_standins/gateways/_fault_kinds.py
@@ -17,6 +17,7 @@
     AddedRoute,
     FaultInterval,
     LeafDrain,
+    LeafLimit,
     PlannedStop,
     RunRecord,
 )
@@ -234,6 +235,17 @@
         context.deployment.write_leaf_entry(leaf)
 
 
+@_register("leaf limits its requests", is_fault=False)
+def _limit_leaf(context: FaultContext) -> None:
+    leaf = context.rng.choice(context.deployment.leaves)
+    per_second = round(context.rng.uniform(0.5, 20.0), 1)
+    started_at = _CLOCK.now()
+    leaf.set_faults(request_limit=per_second)
+    context.wait(context.rng.uniform(8.0, 14.0))
+    context.record.leaf_limits.append(LeafLimit(leaf.id, per_second, started_at, _CLOCK.now()))
+    leaf.set_faults(request_limit=None)
+
+
 @_register("new route", is_fault=False)
 def _add_routes(context: FaultContext) -> None:
     for _ in range(context.rng.randrange(1, 4)):
--- a/filbertreach_standins/gateways/_record.py
+++ b/filbertreach_standins/gateways/_record.py
@@ -76,6 +76,19 @@
     """CLOCK_BOOTTIME just before the leaf was listed as ready again, in seconds."""
 
 
+class LeafLimit(NamedTuple):
+    """A period in which the answers of a leaf named a request limit."""
+
+    leaf: str
+    """Leaf id."""
+    per_second: float
+    """Requests per second from all gateways together."""
+    started_at: float
+    """CLOCK_BOOTTIME just before the first answer that named it, in seconds."""
+    ended_at: float
+    """CLOCK_BOOTTIME just before the last answer that named it, in seconds."""
+
+
 class PlannedStop(NamedTuple):
     """A graceful shutdown of one gateway process."""
 
@@ -114,6 +127,7 @@
         self.fault_intervals: list[FaultInterval] = []
         self.routes: list[AddedRoute] = []
         self.leaf_drains: list[LeafDrain] = []
+        self.leaf_limits: list[LeafLimit] = []
         self.stops: list[PlannedStop] = []
         self.unexpected_exits: list[str] = []
         """Gateways that exited without a signal, with the end of their logs."""
--- a/filbertreach_standins/gateways/tests/test_checker.py
+++ b/filbertreach_standins/gateways/tests/test_checker.py
@@ -9,6 +9,7 @@
     Execution,
     FaultInterval,
     LeafDrain,
+    LeafLimit,
     PlannedStop,
     Request,
     RunRecord,
@@ -64,6 +65,20 @@
     record.leaf_drains.append(LeafDrain("leaf-1", 90.0, 120.0))
 
 
+def _flood_of_limited_leaf(record: RunRecord) -> None:
+    record.leaf_limits.append(LeafLimit("leaf-0", 1.0, 90.0, 120.0))
+    for number in range(13):
+        sent_at = 101.0 + number / 10.0
+        request_id = f"flood-{number}"
+        stamps = tuple(s.replace("q1", request_id) for s in _SCATTER.stamps)
+        record.requests.append(
+            _SCATTER._replace(
+                request_id=request_id, sent_at=sent_at, ended_at=sent_at + 0.1, stamps=stamps
+            )
+        )
+        record.executions.append(Execution("leaf-0", request_id, sent_at))
+
+
 def _interrupted_by_stop(record: RunRecord) -> None:
     record.stops.append(PlannedStop("a", 1, 99.9, 0))
     record.requests.append(
@@ -102,6 +117,7 @@
         _add_request(_SCATTER._replace(request_id="q3", status=404, sent_at=101.0, ended_at=101.1)),
     ),
     ("drain", _late_execution_on_draining_leaf),
+    ("request limit", _flood_of_limited_leaf),
     ("planned stops", _interrupted_by_stop),
     ("planned stops", lambda record: record.stops.append(PlannedStop("a", 1, 200.0, -9))),
     ("own ends", lambda record: record.unexpected_exits.append("a exited")),
