--- a/filbertreach/ctl/_request_timeline.py
+++ b/filbertreach/ctl/_request_timeline.py
@@ -26,6 +26,9 @@
     }
 )
 _LEAF_EVENTS = frozenset({"leaf listed", "leaf unlisted"})
+_LIMIT_BEGINS, _LIMIT_ENDS = "leaf limits its requests", "leaf no longer limits its requests"
+_LIMIT_FAULT = "request limit"
+"""Fault of a service whose leaves were all at their request limits."""
 _HIDDEN_FIELDS = frozenset({"event", "level", "logger", "process", "timestamp", "kind"})
 
 
@@ -48,7 +51,8 @@
     request_lines: list[LogLine]
     """Lines about the request, in the order written; empty if the logs have none."""
     host_state_lines: list[LogLine]
-    """Changes of the host's state before the request, oldest first."""
+    """Changes of the host's state before the request, oldest first, and the request limits in force
+    that kept it from leaves."""
     leaf_lines: list[LogLine]
     """Lines of the host that list or unlist a leaf to which the request was sent."""
     failures_by_leaf: dict[str, int]
@@ -119,7 +123,7 @@
     }
     return RequestTimeline(
         request_lines=[line for _, _, line in matches],
-        host_state_lines=_latest_host_state(before, line.at),
+        host_state_lines=_latest_host_state(before, line.at) + _limits_in_force(before, line),
         leaf_lines=[
             other
             for other in lines_by_host[host]
@@ -148,6 +152,22 @@
     return sorted(kept, key=before.index)
 
 
+def _limits_in_force(before: list[LogLine], line: LogLine) -> list[LogLine]:
+    """Returns the latest limit of each leaf whose limit kept the request from its service."""
+    services = {
+        part["service"]
+        for part in line.fields.get("exceptions", [])
+        if _LIMIT_FAULT in part["faults"]
+    }
+    line_by_leaf: dict[str, LogLine] = {}
+    for other in before:
+        if other.event == _LIMIT_BEGINS and other.fields.get("service") in services:
+            line_by_leaf[other.fields["leaf"]] = other
+        elif other.event == _LIMIT_ENDS:
+            line_by_leaf.pop(other.fields.get("leaf", ""), None)
+    return list(line_by_leaf.values())
+
+
 def _estimate_clock_offset(reference: list[LogLine], other: list[LogLine]) -> float:
     """Estimates how far another clock is ahead, from the versions that both hosts put in force."""
     at_by_version = {
--- a/filbertreach/ctl/tests/test_explain.py
+++ b/filbertreach/ctl/tests/test_explain.py
@@ -62,6 +62,26 @@
     assert timeline.dropped == 7
 
 
+def test_a_refused_request_shows_the_limits_in_force_of_its_leaves() -> None:
+    part = {
+        "service": "stock",
+        "leaves": [],
+        "faults": ["request limit"],
+        "end": "not_run",
+        "pending": None,
+    }
+    lines = [
+        _line("a", 0.0, "leaf limits its requests", leaf="leaf-1", service="stock", per_second=9.0),
+        _line("a", 1.0, "leaf limits its requests", leaf="leaf-1", service="stock", per_second=7.0),
+        _line("a", 2.0, "leaf limits its requests", leaf="leaf-2", service="stock", per_second=5.0),
+        _line("a", 3.0, "leaf no longer limits its requests", leaf="leaf-2", service="stock"),
+        _line("a", 4.0, "leaf limits its requests", leaf="leaf-3", service="other", per_second=1.0),
+        _line("a", 90.0, "request", request="wanted", outcome="limited", exceptions=[part]),
+    ]
+    timeline = _timeline("wanted", lines)
+    assert [line.fields["per_second"] for line in timeline.host_state_lines] == [7.0]
+
+
 def test_a_clock_that_jumps_does_not_reorder_the_lines_of_a_host() -> None:
     lines = [
         _line("a", 500.0, "configuration in force", version=2),
