The size of the fleet falls only once all hosts could announce themselves

Found by reading: a seed that has been restarted knows only the hosts that announced themselves since, and its reply replaced the number that it had named before. With one seed, or all restarted in turn, each host then took a larger part of a leaf's limit for up to 15 s. The largest number of the last 25 s counts now, which also covers seeds that were cut off.

The test fails without the change (2 hosts where 4 are known) and passes with it. A host that starts just after all seeds did still learns of too few.

--- a/filbertreach/gateway/_neighbours.py
+++ b/filbertreach/gateway/_neighbours.py
@@ -3,6 +3,7 @@
 The reader is the host that reads the store; the other hosts of its data centre follow the reader.
 """
 
+import collections
 import contextlib
 import hashlib
 import random
@@ -63,6 +64,12 @@
     """Clock when the reply arrived, in seconds."""
 
 
+class _FleetSize(NamedTuple):
+    hosts: int
+    known_at: float
+    """Clock when the number was known, in seconds."""
+
+
 class Neighbours:
     """Tracks gateways on other hosts, which announce themselves to the seeds; a context manager.
 
@@ -87,7 +94,8 @@
         self._clock = clock
         self._sighting_by_name: dict[str, _Sighting] = {}
         self._reply_by_seed: dict[str, _SeedReply] = {}
-        self._fleet_size: int | None = None
+        self._recent_sizes: collections.deque[_FleetSize] = collections.deque()
+        """Numbers of hosts known within the last `_HOST_EXPIRY_SECONDS`, oldest first."""
         self._excluded_until_by_name: dict[str, float] = {}
         self._channel_by_address: dict[str, HttpChannel] = {}
         self._hosts_decoder = msgspec.json.Decoder(KnownHosts)
@@ -131,9 +139,11 @@
         return reply
 
     def fleet_size(self) -> int | None:
-        """Returns the number of live hosts, the largest that this host or a seed knows of.
+        """Returns the number of live hosts, the largest that was known for some time.
 
-        While no seed answers, hosts expire that may be alive, so the number does not fall.
+        A seed that has been restarted or cut off knows only the hosts that have announced
+        themselves since, so the number falls only once all have had the time to do so. While no
+        seed answers, hosts expire that may be alive, so it does not fall at all.
 
         Returns:
             The number, this host included; None before another host is known.
@@ -144,12 +154,18 @@
             for reply in self._reply_by_seed.values()
             if now - reply.received_at < _HOST_EXPIRY_SECONDS
         ]
-        size = max([len(self._live_hosts(now)), *totals])
-        if totals or not self._seeds:
-            self._fleet_size = size
-        elif size > 1:
-            self._fleet_size = max(size, self._fleet_size or 1)
-        return self._fleet_size
+        hosts = max([len(self._live_hosts(now)), *totals])
+        sizes = self._recent_sizes
+        if self._seeds and not totals:
+            if hosts == 1 and not sizes:
+                return None
+            hosts = max([hosts, *(size.hosts for size in sizes)])
+        while sizes and now - sizes[0].known_at >= _HOST_EXPIRY_SECONDS:
+            sizes.popleft()
+        while sizes and sizes[-1].hosts <= hosts:
+            sizes.pop()
+        sizes.append(_FleetSize(hosts, now))
+        return sizes[0].hosts
 
     def _live_hosts(self, now: float) -> list[KnownHost]:
         """Drops expired hosts and returns this host and the remaining ones, sorted by name."""
--- a/filbertreach/gateway/tests/test_neighbours.py
+++ b/filbertreach/gateway/tests/test_neighbours.py
@@ -115,6 +115,41 @@
     anyio.run(run)
 
 
+def test_the_fleet_does_not_seem_to_shrink_when_a_seed_has_restarted() -> None:
+    # Guards against hosts that each take too large a part of a limit: a seed that has just been
+    # restarted knows only the hosts that have announced themselves since.
+    async def run() -> None:
+        seed_clock, clock = FakeClock(), FakeClock()
+        seed_address = free_address()
+        other = _neighbours(_ORDER[1], clock, seeds=(seed_address,))
+        async with other:
+            for known_to_seed in (_ORDER[2:], []):
+                seed = _neighbours(_ORDER[0], seed_clock)
+                for name in known_to_seed:
+                    seed.on_announcement(_host(name), known_digest="")
+                server = HttpServer(
+                    address=seed_address,
+                    application=neighbour_application(seed, ChangeLog(clock=seed_clock)),
+                    drain_seconds=1.0,
+                )
+                async with anyio.create_task_group() as serving:
+                    await serving.start(server.run)
+                    async with anyio.create_task_group() as announcing:
+                        announcing.start_soon(other.run)
+                        with anyio.fail_after(20):
+                            while seed.fleet_size() != len(known_to_seed) + 2:
+                                await anyio.sleep(0.02)
+                        await anyio.sleep(0.2)  # The reply arrives.
+                        announcing.cancel_scope.cancel()
+                    server.stop()
+                clock.advance(10.0)
+                assert other.fleet_size() == 4
+        clock.advance(14.0)
+        assert other.fleet_size() == 4
+
+    anyio.run(run)
+
+
 def test_hosts_are_sent_only_if_the_digest_is_out_of_date() -> None:
     neighbours = _neighbours("front-1", FakeClock())
     first = neighbours.on_announcement(_host("front-2"), known_digest="")
