Small parts of a leaf's request limit are sent in turns

What leaves would see: in fleets of many hosts (N > L + 5) more than they allow.

Cause: a bucket holds one request at least, however small the part. Hosts without callers have one saved for every leaf, and so have hosts whose queries are refused because other shards lack room. A burst, or chance, spends them together.

A part below half a request a second is now sent in turns of 2.5 s, and a request that is not sent in its turn lapses. The turns of a host are the same for all leaves, so a scatter query finds room at all shards in one turn; separate ones would let almost no query through. Larger parts keep the bucket, which saves at most two seconds of the part, so the sum holds for any burst.

Ruled out: slower buckets (serve less and still burst), requests that lapse leaf by leaf (no query over many shards finds all of them), turns of 4 s (serve a third more, and break the bound in bursts of four times).

Three tests of the query had a host count of 16 and a leaf that names 0, where a turn may come at any time; they now have so many hosts that no turn comes.

--- a/experiments/query_cost.py
+++ b/experiments/query_cost.py
@@ -10,6 +10,7 @@
 from filbertreach.document import Leaf, Route
 from filbertreach.gateway._directory import RouteStatistics
 from filbertreach.gateway._query import Query
+from filbertreach.gateway._request_turns import TurnSchedule
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
 from filbertreach.gateway._service_pool import Location, ServicePool
 from filbertreach.platform import Bounds, LeafEntry, read_request_head
@@ -73,6 +74,7 @@
                 location=Location(leaf.region, leaf.data_centre),
                 budget=budget,
                 drain_seconds=5.0,
+                schedule=TurnSchedule(),
                 clock=clock,
                 spawn=spawn,
             )
--- a/filbertreach/gateway/_directory.py
+++ b/filbertreach/gateway/_directory.py
@@ -8,6 +8,7 @@
 from filbertreach.decisions import LateShardLatencies
 from filbertreach.document import Route, RouteTable
 from filbertreach.gateway._metrics import ROUTES_VERSION
+from filbertreach.gateway._request_turns import TurnSchedule
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
 from filbertreach.gateway._route_latencies import RouteLatencies
 from filbertreach.gateway._service_pool import Location, ServicePool, Spawn
@@ -70,6 +71,7 @@
         self._region_by_data_centre = region_by_data_centre
         self._budget = budget
         self._drain_seconds = drain_seconds
+        self._schedule = TurnSchedule()
         self._spawn = spawn
         self._on_change = on_change
         self._host_count: int | None = None
@@ -173,6 +175,7 @@
                 location=self._location,
                 budget=self._budget,
                 drain_seconds=self._drain_seconds,
+                schedule=self._schedule,
                 clock=self._clock,
                 spawn=self._spawn,
             )
--- a/filbertreach/gateway/_request_limit.py
+++ b/filbertreach/gateway/_request_limit.py
@@ -2,9 +2,10 @@
 
 import collections
 import math
-import random
 
 from filbertreach.gateway._metrics import LIMITED_LEAF_CALLS
+from filbertreach.gateway._request_turns import RequestTurns, TurnSchedule
+from filbertreach.gateway._token_bucket import TokenBucket
 from filbertreach.observability import get_logger
 
 _LOGGER = get_logger(__name__)
@@ -16,55 +17,54 @@
 _MIN_PER_SECOND = 0.5
 """A leaf that names less is still asked this often by all hosts together. Otherwise no answer would
 show that its limit has ended."""
-_BURST_SECONDS = 1.0
-"""Time for which unused requests are saved for a burst."""
-_ROUNDING_TOLERANCE = 1e-9
+_MIN_BUCKET_PER_SECOND = 0.5
+"""A smaller part is sent in turns. A bucket saves at least one request, and the requests saved by
+many hosts would exceed what the leaf tolerates beyond its limit."""
 
 
 class RequestLimit:
     """The limit that a leaf names in its answers, in force until it answers without one.
 
-    Each host sends its part of the limit, by a token bucket. Hosts do not coordinate their buckets,
-    so a bucket starts at a random level: hosts that learn of a limit at the same time, and may each
-    send less than one request per second, would otherwise send their first requests together.
+    Each host sends its part of the limit, by a token bucket, or in turns if the part is small.
     """
 
-    def __init__(self, *, leaf: str, service: str, hosts: int | None) -> None:
+    def __init__(
+        self, *, leaf: str, service: str, hosts: int | None, schedule: TurnSchedule
+    ) -> None:
         """Creates the state of a leaf that has named no limit.
 
         Args:
             leaf: Id of the leaf.
             service: Its service.
             hosts: Number of hosts that share the limit, this one included; None if unknown.
+            schedule: Turns of this host.
         """
         self.per_second: float | None = None
         """Requests per second from all hosts together; None while there is no limit."""
         self.hosts = hosts
         """Number of hosts that share the limit, this one included; None if unknown."""
+        self.turns = RequestTurns(schedule=schedule)
+        """Requests that this host sends while its part is small."""
+        self._bucket = TokenBucket(now=0.0)
         self._leaf = leaf
         self._service = service
         self._named_at = -math.inf
         self._limited_since = math.inf
-        self._tokens = 0.0
-        self._refilled_at = 0.0
         self._count_by_kind: collections.Counter[str] = collections.Counter()
 
     def available_at(self, now: float, *, priority: int = 0) -> float:
         """Returns the clock from which a call may be sent; in the past if it may be sent now.
 
-        The less urgent a call is, the more of the burst has to be left after it, so that urgent
-        calls find requests even if the others want more than the limit.
-
         Args:
             now: Current clock, in seconds.
             priority: Rank of the call, 0 for the most urgent ones.
         """
         if self.per_second is None:
             return -math.inf
-        self._refill(now)
-        kept = (self._burst - 1.0) * (1.0 - 1.0 / (1 + priority))
-        missing = 1.0 + kept - self._tokens
-        return now + missing / self._own_per_second if missing > _ROUNDING_TOLERANCE else now
+        own_per_second = self._own_per_second
+        if own_per_second < _MIN_BUCKET_PER_SECOND:
+            return self.turns.available_at(now, per_second=own_per_second)
+        return self._bucket.available_at(now, per_second=own_per_second, priority=priority)
 
     def is_unused(self, now: float) -> bool:
         """Returns whether this host has not used its part for a while, or there is no limit.
@@ -74,8 +74,10 @@
         """
         if self.per_second is None:
             return True
-        self._refill(now)
-        return self._tokens >= self._burst - _ROUNDING_TOLERANCE
+        own_per_second = self._own_per_second
+        return own_per_second >= _MIN_BUCKET_PER_SECOND and self._bucket.is_full(
+            now, per_second=own_per_second
+        )
 
     def count_call(self, kind: str, now: float) -> None:
         """Counts a call that is sent to the leaf.
@@ -86,8 +88,8 @@
         """
         if self.per_second is None:
             return
-        self._refill(now)
-        self._tokens -= 1.0
+        self._bucket.take(now, per_second=self._own_per_second)
+        self.turns.take(now)
         self._count_by_kind[kind] += 1
         LIMITED_LEAF_CALLS.labels(kind).inc()
 
@@ -99,12 +101,10 @@
             now: Current clock, in seconds.
         """
         old = self.per_second
-        if old is not None:
-            self._refill(now)
         self.per_second, self._named_at = per_second, now
         if old is None:
-            self._limited_since = self._refilled_at = now
-            self._tokens = random.random()
+            self._limited_since = now
+            self._bucket = TokenBucket(now=now)
         if old is None or abs(per_second - old) > _LOGGED_CHANGE * old:
             _LOGGER.info(
                 "leaf limits its requests",
@@ -142,14 +142,6 @@
         hosts = _UNKNOWN_FLEET_HOSTS if self.hosts is None else self.hosts
         return max(self.per_second, _MIN_PER_SECOND) / hosts
 
-    @property
-    def _burst(self) -> float:
-        return max(1.0, 1.0 + self._own_per_second * _BURST_SECONDS)
-
-    def _refill(self, now: float) -> None:
-        elapsed, self._refilled_at = now - self._refilled_at, now
-        self._tokens = min(self._burst, self._tokens + elapsed * self._own_per_second)
-
     def _lift(self, reason: str, now: float) -> None:
         _LOGGER.info(
             "leaf no longer limits its requests",
--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -10,6 +10,7 @@
 from filbertreach.gateway._leaf_connection import LeafConnection
 from filbertreach.gateway._metrics import CONNECTIONS, CONNECTIONS_OPENED
 from filbertreach.gateway._request_limit import RequestLimit
+from filbertreach.gateway._request_turns import TurnSchedule
 from filbertreach.gateway._retry_budget import RetryBudget, RetryBudgetSettings
 from filbertreach.observability import get_logger
 from filbertreach.platform import LeafEntry
@@ -81,6 +82,7 @@
         location: Location,
         connections: int,
         hosts: int | None,
+        schedule: TurnSchedule,
         clock: Clock,
     ) -> None:
         """Creates a handle without connections.
@@ -90,6 +92,7 @@
             location: Region and data centre of this host.
             connections: Largest number of connections that this host may open.
             hosts: Number of hosts that call the leaf, this one included; None if unknown.
+            schedule: Turns in which this host calls leaves that limit their requests.
             clock: Source of time.
         """
         self.entry = entry
@@ -101,7 +104,9 @@
             stuck_factor=_STUCK_FACTOR,
         )
         self.tracker.distance_seconds = location.distance_seconds(entry.leaf)
-        self.request_limit = RequestLimit(leaf=entry.leaf.id, service=entry.service, hosts=hosts)
+        self.request_limit = RequestLimit(
+            leaf=entry.leaf.id, service=entry.service, hosts=hosts, schedule=schedule
+        )
         self.usable_until = math.inf
         """Clock until which the leaf may be chosen as a last resort; infinite while it is listed as
         ready."""
@@ -177,6 +182,7 @@
         location: Location,
         budget: RetryBudgetSettings,
         drain_seconds: float,
+        schedule: TurnSchedule,
         clock: Clock,
         spawn: Spawn,
     ) -> None:
@@ -187,6 +193,7 @@
             location: Region and data centre of this host.
             budget: Limits of retries and hedges.
             drain_seconds: Bound within which a leaving leaf must receive no further requests.
+            schedule: Turns in which this host calls leaves that limit their requests.
             clock: Source of time.
             spawn: Runs a coroutine function as a task.
         """
@@ -198,6 +205,7 @@
         longer, even if its handle has been removed meanwhile."""
         self._location = location
         self._drain_seconds = drain_seconds
+        self._schedule = schedule
         self._clock = clock
         self._spawn = spawn
         self._chooser: ReplicaPolicy = make_replica_policy(name="least_expected_wait")
@@ -249,9 +257,11 @@
                 location=self._location,
                 connections=self._connections_per_host(),
                 hosts=self._host_count,
+                schedule=self._schedule,
                 clock=self._clock,
             )
             self.handle_by_id[entry.leaf.id] = handle
+            self._spread_turns()
         handle.entry = entry
         handle.tracker.leaving = entry.leaving
         if entry.leaving:
@@ -308,6 +318,7 @@
                 if not handle.tracker.in_flight:
                     handle.request_limit.on_removed(now)
                     del self.handle_by_id[leaf_id]
+                    self._spread_turns()
         for leaf_id, departure in list(self._departure_by_id.items()):
             if now - departure.seen_at > _DEPARTURE_RETENTION_SECONDS:
                 del self._departure_by_id[leaf_id]
@@ -440,6 +451,16 @@
         """Returns the number of leaves that name a request limit."""
         return sum(h.request_limit.per_second is not None for h in self.handle_by_id.values())
 
+    def _spread_turns(self) -> None:
+        """Gives the leaves different turns.
+
+        The offsets are the same in all pools of as many leaves, so that one turn serves a query
+        over all of them.
+        """
+        for number, leaf_id in enumerate(sorted(self.handle_by_id)):
+            turns = self.handle_by_id[leaf_id].request_limit.turns
+            turns.offset = number / len(self.handle_by_id)
+
     def _depart(self, handle: LeafHandle, *, until: float) -> None:
         """Limits the use of a leaf that is leaving or unlisted.
 
--- a/filbertreach/gateway/tests/test_draining_bound.py
+++ b/filbertreach/gateway/tests/test_draining_bound.py
@@ -4,6 +4,7 @@
 
 from filbertreach.document import Leaf
 from filbertreach.gateway import _discovery, _leaf_connection, _neighbours, _process
+from filbertreach.gateway._request_turns import TurnSchedule
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
 from filbertreach.gateway._service_pool import Location, ServicePool
 from filbertreach.platform import LeafEntry
@@ -21,6 +22,7 @@
         location=Location("minho", "minho-1"),
         budget=RetryBudgetSettings(),
         drain_seconds=drain_seconds,
+        schedule=TurnSchedule(),
         clock=clock,
         spawn=lambda run, name: None,
     )
--- a/filbertreach/gateway/tests/test_query.py
+++ b/filbertreach/gateway/tests/test_query.py
@@ -11,6 +11,7 @@
 from filbertreach.decisions import LateShardLatencies
 from filbertreach.document import Leaf, Route
 from filbertreach.gateway._query import Query, QueryResult
+from filbertreach.gateway._request_turns import TurnSchedule
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
 from filbertreach.gateway._route_latencies import RouteLatencies
 from filbertreach.gateway._service_call import ServiceCall
@@ -21,6 +22,8 @@
 _SECONDS = 20.0
 """Timeout of each test; a test that passes does not wait for it."""
 _BUDGET = Bounds(3.0, 3.0, 6.0, 0.2, 10.0, 160.0)
+_MANY_HOSTS = 1_000_000_000
+"""Number of hosts at which this host has practically no part of a request limit."""
 
 
 class _Leaf:
@@ -97,6 +100,7 @@
                 location=Location("minho", "minho-1"),
                 budget=budget,
                 drain_seconds=3.0,
+                schedule=TurnSchedule(),
                 clock=SystemClock(),
                 spawn=lambda run, name: group.start_soon(run),
             )
@@ -331,6 +335,7 @@
     # Guards against queries that use up what limited leaves take and are then not answered.
     async def test(fleet: _Fleet) -> None:
         clock = SystemClock()
+        fleet.pools[0].set_host_count(_MANY_HOSTS)
         assert (await _query(fleet, least=1.0).run()).answer.status == 200
         started = clock.now()
         result = await _query(fleet, least=1.0).run()
@@ -349,6 +354,7 @@
 
 def test_the_other_leaf_is_used_when_one_is_at_its_limit() -> None:
     async def test(fleet: _Fleet) -> None:
+        fleet.pools[0].set_host_count(_MANY_HOSTS)
         for _ in range(4):
             assert (await _query(fleet, scatter=False).run()).answer.status == 200
         assert [len(leaf.requests) for leaf in fleet.leaves["a"]] == [1, 3]
@@ -358,6 +364,7 @@
 
 def test_a_single_request_waits_for_a_limited_leaf_only_until_its_target() -> None:
     async def test(fleet: _Fleet) -> None:
+        fleet.pools[0].set_host_count(_MANY_HOSTS)
         assert (await _query(fleet, scatter=False).run()).answer.status == 200
         result = await _query(fleet, scatter=False, objective=0.1).run()
         assert (result.answer.status, result.outcome) == (503, "limited")
--- a/filbertreach/gateway/tests/test_request_limit.py
+++ b/filbertreach/gateway/tests/test_request_limit.py
@@ -5,10 +5,11 @@
 import pytest
 
 from filbertreach.gateway._request_limit import RequestLimit
+from filbertreach.gateway._request_turns import TurnSchedule
 
 
 def _limit(hosts: int | None = 1) -> RequestLimit:
-    return RequestLimit(leaf="a", service="fleet", hosts=hosts)
+    return RequestLimit(leaf="a", service="fleet", hosts=hosts, schedule=TurnSchedule())
 
 
 def test_a_limit_is_in_force_until_a_later_request_is_answered_without_it() -> None:
--- a/filbertreach/gateway/tests/test_service_pool.py
+++ b/filbertreach/gateway/tests/test_service_pool.py
@@ -6,6 +6,7 @@
 
 from filbertreach.decisions import LeafOutcome
 from filbertreach.document import Leaf
+from filbertreach.gateway._request_turns import TurnSchedule
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
 from filbertreach.gateway._service_pool import Location, ServicePool
 from filbertreach.platform import LeafEntry
@@ -25,6 +26,7 @@
         location=_LOCATION,
         budget=RetryBudgetSettings(),
         drain_seconds=3.0,
+        schedule=TurnSchedule(),
         clock=clock,
         spawn=lambda run, name: None,
     )
