--- a/experiments/query_cost.py
+++ b/experiments/query_cost.py
@@ -9,10 +9,11 @@
 from experiments._registry import experiment
 from filbertreach.document import Leaf, Route
 from filbertreach.gateway._directory import RouteStatistics
+from filbertreach.gateway._leaf_handle import Location
 from filbertreach.gateway._query import Query
 from filbertreach.gateway._request_turns import TurnSchedule
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
-from filbertreach.gateway._service_pool import Location, ServicePool
+from filbertreach.gateway._service_pool import ServicePool
 from filbertreach.platform import Bounds, LeafEntry, read_request_head
 from filbertreach.timing import SystemClock
 from filbertreach_standins._process import StandInProcess
--- a/filbertreach/gateway/_directory.py
+++ b/filbertreach/gateway/_directory.py
@@ -7,11 +7,12 @@
 
 from filbertreach.decisions import LateShardLatencies
 from filbertreach.document import Route, RouteTable
+from filbertreach.gateway._leaf_handle import Location
 from filbertreach.gateway._metrics import ROUTES_VERSION
 from filbertreach.gateway._request_turns import TurnSchedule
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
 from filbertreach.gateway._route_latencies import RouteLatencies
-from filbertreach.gateway._service_pool import Location, ServicePool, Spawn
+from filbertreach.gateway._service_pool import ServicePool, Spawn
 from filbertreach.observability import get_logger
 from filbertreach.platform import (
     LEAVES_PREFIX,
--- a/filbertreach/gateway/_process.py
+++ b/filbertreach/gateway/_process.py
@@ -11,6 +11,7 @@
 from filbertreach.gateway._change_log import ChangeLog
 from filbertreach.gateway._directory import Directory
 from filbertreach.gateway._discovery import StoreFollower
+from filbertreach.gateway._leaf_handle import Location
 from filbertreach.gateway._metrics import (
     CALLERS_LEFT,
     FLEET_SIZE,
@@ -24,7 +25,6 @@
 from filbertreach.gateway._neighbours import Neighbours
 from filbertreach.gateway._query import Query, QueryResult
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
-from filbertreach.gateway._service_pool import Location
 from filbertreach.observability import Health, get_logger
 from filbertreach.platform import (
     CallerAnswer,
--- a/filbertreach/gateway/_service_call.py
+++ b/filbertreach/gateway/_service_call.py
@@ -9,6 +9,7 @@
 from filbertreach.document import Route
 from filbertreach.gateway._exchange import Exchange, FaultKind, LeafFault
 from filbertreach.gateway._leaf_connection import LeafConnection
+from filbertreach.gateway._leaf_handle import LeafHandle
 from filbertreach.gateway._metrics import (
     BUDGET_REFUSALS,
     LEAF_CALLS,
@@ -16,7 +17,7 @@
     LEAF_SECONDS,
 )
 from filbertreach.gateway._route_latencies import RouteLatencies
-from filbertreach.gateway._service_pool import LeafHandle, ServicePool
+from filbertreach.gateway._service_pool import ServicePool
 from filbertreach.platform import CallerRequest, LeafAnswer, encode_leaf_request
 from filbertreach.timing import Clock
 
--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -1,15 +1,13 @@
-"""The leaves of one service: choice of the leaf for a request, and connections to the leaves."""
+"""The leaves of one service: choice of the leaf for a request, and when leaves may be used."""
 
 import math
 from collections.abc import Callable, Collection, Coroutine
 from typing import Any, NamedTuple
 
-from filbertreach.decisions import LeafOutcome, LeafTracker, ReplicaPolicy, make_replica_policy
-from filbertreach.document import Leaf, Pool
+from filbertreach.decisions import LeafOutcome, ReplicaPolicy, make_replica_policy
 from filbertreach.gateway._exchange import Exchange
 from filbertreach.gateway._leaf_connection import LeafConnection
-from filbertreach.gateway._metrics import CONNECTIONS, CONNECTIONS_OPENED
-from filbertreach.gateway._request_limit import RequestLimit
+from filbertreach.gateway._leaf_handle import LeafHandle, Location
 from filbertreach.gateway._request_turns import TurnSchedule
 from filbertreach.gateway._retry_budget import RetryBudget, RetryBudgetSettings
 from filbertreach.observability import get_logger
@@ -32,18 +30,6 @@
 _DEPARTURE_RETENTION_SECONDS = 60.0
 """Time after the last sign of a leaf that has left for which its departure is remembered. A leaf
 renews its entry while it drains, and an entry may expire and return before it has drained."""
-_OTHER_REGION_PENALTY_SECONDS = 0.04
-"""A leaf in another region is chosen only if it is expected to answer this much earlier, because
-traffic between regions is expensive."""
-_OTHER_DATA_CENTRE_PENALTY_SECONDS = 0.002
-"""The same for a leaf in another data centre of the region."""
-_SMOOTHING = 0.3
-"""Weight of a new latency in the moving average. It is high because a host sends only a few calls
-per second to each leaf, and a slow leaf causes hedges until it is detected."""
-_STUCK_FACTOR = 3.0
-"""A leaf counts as paused, and receives no further calls, while a call to it has been running for
-this many mean latencies."""
-_CONNECTION_COST_MS = 6.0
 _QUEUE_FACTOR = 4
 """Limit of the calls in flight to a leaf as a multiple of its slots, if no leaf has a free slot; a
 leaf has a short queue."""
@@ -51,118 +37,6 @@
 Spawn = Callable[[Callable[[], Coroutine[Any, Any, None]], str], None]
 
 
-class Location(NamedTuple):
-    """Region and data centre of a host."""
-
-    region: str
-    """Region."""
-    data_centre: str
-    """Data centre."""
-
-    def distance_seconds(self, leaf: Leaf) -> float:
-        """Returns the penalty that the distance adds to the expected time of a leaf, in seconds.
-
-        Args:
-            leaf: The leaf.
-        """
-        if leaf.data_centre == self.data_centre:
-            return 0.0
-        if leaf.region == self.region:
-            return _OTHER_DATA_CENTRE_PENALTY_SECONDS
-        return _OTHER_REGION_PENALTY_SECONDS
-
-
-class LeafHandle:
-    """A leaf with its observed state and the connections to it."""
-
-    def __init__(
-        self,
-        *,
-        entry: LeafEntry,
-        location: Location,
-        connections: int,
-        hosts: int | None,
-        schedule: TurnSchedule,
-        clock: Clock,
-    ) -> None:
-        """Creates a handle without connections.
-
-        Args:
-            entry: Entry of the leaf in the store.
-            location: Region and data centre of this host.
-            connections: Largest number of connections that this host may open.
-            hosts: Number of hosts that call the leaf, this one included; None if unknown.
-            schedule: Turns in which this host calls leaves that limit their requests.
-            clock: Source of time.
-        """
-        self.entry = entry
-        self.max_connections = connections
-        self.tracker = LeafTracker(
-            leaf=entry.leaf,
-            pool=Pool(entry.service, entry.slots, 3 * connections, _CONNECTION_COST_MS),
-            smoothing=_SMOOTHING,
-            stuck_factor=_STUCK_FACTOR,
-        )
-        self.tracker.distance_seconds = location.distance_seconds(entry.leaf)
-        self.request_limit = RequestLimit(
-            leaf=entry.leaf.id, service=entry.service, hosts=hosts, schedule=schedule
-        )
-        self.usable_until = math.inf
-        """Clock until which the leaf may be chosen as a last resort; infinite while it is listed as
-        ready."""
-        self._clock = clock
-        self._idle: list[LeafConnection] = []
-        self._open: set[LeafConnection] = set()
-
-    @property
-    def leaf(self) -> Leaf:
-        """The leaf."""
-        return self.entry.leaf
-
-    @property
-    def has_connection(self) -> bool:
-        """Whether a connection is available without waiting for another request to end."""
-        return len(self._open) < self.max_connections or any(
-            c.is_within_keep_alive for c in self._idle
-        )
-
-    def take_idle(self) -> LeafConnection | None:
-        """Returns the most recently used idle connection; closes the expired ones."""
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_within_keep_alive:
-                return connection
-            connection.close()
-        return None
-
-    def open(self) -> LeafConnection:
-        """Returns a new connection, whose `run` must be started as a task."""
-        connection = LeafConnection(leaf=self.leaf, owner=self, clock=self._clock)
-        self._open.add(connection)
-        CONNECTIONS_OPENED.inc()
-        CONNECTIONS.inc()
-        return connection
-
-    def on_idle(self, connection: LeafConnection) -> None:
-        """Adds a connection to the idle ones."""
-        self._idle.append(connection)
-
-    def on_unusable(self, connection: LeafConnection) -> None:
-        """Removes a connection from the idle ones."""
-        if connection in self._idle:
-            self._idle.remove(connection)
-
-    def on_closed(self, connection: LeafConnection) -> None:
-        """Removes a closed connection."""
-        self._open.discard(connection)
-        CONNECTIONS.dec()
-
-    def close_idle(self) -> None:
-        """Closes the connections without a request in progress."""
-        for connection in list(self._idle):
-            connection.close()
-
-
 class _Departure(NamedTuple):
     started_at_ms: int
     """Start time of the leaf process, in Unix milliseconds."""
--- a/filbertreach/gateway/tests/test_directory.py
+++ b/filbertreach/gateway/tests/test_directory.py
@@ -6,8 +6,8 @@
 import pytest
 
 from filbertreach.gateway._directory import Directory
+from filbertreach.gateway._leaf_handle import Location
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
-from filbertreach.gateway._service_pool import Location
 from filbertreach.platform import LEAVES_PREFIX, StoredItem, StoredListing
 from filbertreach.timing import FakeClock
 
--- a/filbertreach/gateway/tests/test_limited_leaves.py
+++ b/filbertreach/gateway/tests/test_limited_leaves.py
@@ -16,11 +16,12 @@
 from filbertreach.document import Leaf, Route
 from filbertreach.gateway._exchange import Exchange
 from filbertreach.gateway._leaf_connection import LeafConnection
+from filbertreach.gateway._leaf_handle import Location
 from filbertreach.gateway._request_turns import TurnSchedule
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
 from filbertreach.gateway._route_latencies import RouteLatencies
 from filbertreach.gateway._service_call import CallContext, ServiceCall
-from filbertreach.gateway._service_pool import Location, ServicePool
+from filbertreach.gateway._service_pool import ServicePool
 from filbertreach.platform import LeafEntry, read_leaf_answer, read_request_head
 from filbertreach.timing import FakeClock
 
--- a/filbertreach/gateway/tests/test_query.py
+++ b/filbertreach/gateway/tests/test_query.py
@@ -10,12 +10,13 @@
 
 from filbertreach.decisions import LateShardLatencies
 from filbertreach.document import Leaf, Route
+from filbertreach.gateway._leaf_handle import Location
 from filbertreach.gateway._query import Query, QueryResult
 from filbertreach.gateway._request_turns import TurnSchedule
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
 from filbertreach.gateway._route_latencies import RouteLatencies
 from filbertreach.gateway._service_call import ServiceCall
-from filbertreach.gateway._service_pool import Location, ServicePool
+from filbertreach.gateway._service_pool import ServicePool
 from filbertreach.platform import Bounds, LeafEntry, read_request_head
 from filbertreach.timing import SystemClock
 
--- a/filbertreach/gateway/tests/test_service_pool.py
+++ b/filbertreach/gateway/tests/test_service_pool.py
@@ -6,9 +6,10 @@
 
 from filbertreach.decisions import LeafOutcome
 from filbertreach.document import Leaf
+from filbertreach.gateway._leaf_handle import Location
 from filbertreach.gateway._request_turns import TurnSchedule
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
-from filbertreach.gateway._service_pool import Location, ServicePool
+from filbertreach.gateway._service_pool import ServicePool
 from filbertreach.platform import LeafEntry
 from filbertreach.timing import FakeClock
 
