Test processes that run concurrently never choose the same port

A daemon binds its ports seconds after the test chose them, and a test process beside it could choose the same one meanwhile.

--- a/experiments/costs.py
+++ b/experiments/costs.py
@@ -19,7 +19,7 @@
 from filbertreach.membership import owner_candidates
 from filbertreach.schema import Answer, Call, Member
 from filbertreach.transport import Peer, ReceivedMessage, Transport
-from filbertreach_standins.fleet import free_address
+from filbertreach_standins.ports import free_address
 
 _FRAME_SIZES = (1, 25, 100, 580)
 _DOCUMENT_LEAVES = (100, 1000, 6100)
--- a/filbertreach/gateway/tests/test_neighbours.py
+++ b/filbertreach/gateway/tests/test_neighbours.py
@@ -13,7 +13,7 @@
 from filbertreach.observability import HttpServer
 from filbertreach.schema import KnownHost
 from filbertreach.timing import FakeClock, SystemClock
-from filbertreach_standins.fleet import free_address
+from filbertreach_standins.ports import free_address
 
 _NAMES = ["front-1", "front-2", "front-3", "front-4"]
 _ORDER = sorted(_NAMES, key=lambda name: (zlib.crc32(name.encode()), name))
--- a/filbertreach/observability/tests/test_http_server.py
+++ b/filbertreach/observability/tests/test_http_server.py
@@ -8,7 +8,7 @@
 import pytest
 
 from filbertreach.observability import HttpServer, Receive, Scope, Send, respond
-from filbertreach_standins.fleet import free_address
+from filbertreach_standins.ports import free_address
 
 _SECONDS = 10.0
 """Timeout of each test; a test that passes does not wait for it."""
--- a/filbertreach/transport/tests/test_transport.py
+++ b/filbertreach/transport/tests/test_transport.py
@@ -8,7 +8,7 @@
 from filbertreach.transport import Transport
 from filbertreach.transport._delay import DelayEstimator
 from filbertreach.transport._transport import SILENCE_SECONDS
-from filbertreach_standins.fleet import free_address
+from filbertreach_standins.ports import free_address
 from filbertreach_standins.relay import Relay
 
 _WAIT_SECONDS = 30
--- a/filbertreach_standins/agent_fleet.py
+++ b/filbertreach_standins/agent_fleet.py
@@ -21,8 +21,8 @@
 from filbertreach.schema import ProcessSection, ViewSection
 from filbertreach.transport import Peer, ReceivedMessage, Transport
 from filbertreach_standins._process import StandInControl, StandInProcess
-from filbertreach_standins.fleet import free_address
 from filbertreach_standins.link_relay import LinkRelay
+from filbertreach_standins.ports import free_address
 
 _ROOT = pathlib.Path(__file__).parent.parent
 _STOP_TIMEOUT_SECONDS = 30.0
--- a/filbertreach_standins/fleet.py
+++ b/filbertreach_standins/fleet.py
@@ -4,9 +4,7 @@
 import http.client
 import json
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -15,6 +13,7 @@
 from typing import Any, NamedTuple, Self
 
 from filbertreach_standins._process import StandInControl, StandInProcess
+from filbertreach_standins.ports import free_address
 
 READY_SECONDS = 60.0
 """Time limit for a daemon to become ready; starting many processes takes several seconds."""
@@ -26,12 +25,6 @@
     """A process of the fleet ended, did not become ready or a command failed."""
 
 
-_PORT_RANGE = (12000, 32000)
-"""Below the ephemeral ports of Linux, which begin at 32768."""
-_PORT_GENERATOR = random.SystemRandom()
-"""Not seeded, because test processes that run concurrently must choose different ports."""
-
-
 class FleetOptions(NamedTuple):
     """Size and behaviour of a local fleet."""
 
@@ -76,22 +69,6 @@
     """Additional options of the section [ctl] in the settings of filbertreach-ctl."""
 
 
-def free_address() -> str:
-    """Returns a currently free ip:port on loopback.
-
-    Ephemeral ports are avoided: the kernel could give one to another process between the writing of
-    a settings file and the start of the daemon.
-    """
-    while True:
-        port = _PORT_GENERATOR.randrange(*_PORT_RANGE)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        return f"127.0.0.1:{port}"
-
-
 class DaemonProcess:
     """A filbertreach daemon that runs as a process."""
 
@@ -156,11 +133,7 @@
         """
         deadline = time.monotonic() + READY_SECONDS
         while time.monotonic() < deadline:
-            assert self._process is not None
-            if self._process.poll() is not None:
-                raise FleetError(
-                    f"{self.name} ended before it was ready: {self.log.read_text()[-2000:]}"
-                )
+            self._check_running("ready")
             with contextlib.suppress(OSError):
                 if self.get("/readyz")[0] == 200:
                     return
@@ -175,12 +148,20 @@
         """
         deadline = time.monotonic() + READY_SECONDS
         while time.monotonic() < deadline:
+            self._check_running("listening")
             with contextlib.suppress(OSError):
                 self.get("/livez")
                 return
             time.sleep(0.02)
         raise FleetError(f"{self.name} does not listen: {self.log.read_text()[-2000:]}")
 
+    def _check_running(self, awaited: str) -> None:
+        assert self._process is not None
+        if self._process.poll() is not None:
+            raise FleetError(
+                f"{self.name} ended before it was {awaited}: {self.log.read_text()[-2000:]}"
+            )
+
     def get(self, path: str) -> tuple[int, bytes]:
         """Sends a GET request to the HTTP interface.
 
--- a/filbertreach_standins/gateways/_deployment.py
+++ b/filbertreach_standins/gateways/_deployment.py
@@ -11,8 +11,8 @@
 import anyio.from_thread
 
 from filbertreach_standins._process import StandInControl, StandInProcess
-from filbertreach_standins.fleet import free_address
 from filbertreach_standins.gateways._process import GatewayProcess
+from filbertreach_standins.ports import free_address
 from filbertreach_standins.relay import Relay
 
 FLOOR = 0.5
--- a/filbertreach_standins/gateways/_process.py
+++ b/filbertreach_standins/gateways/_process.py
@@ -11,7 +11,7 @@
 import time
 from typing import Any, NamedTuple
 
-from filbertreach_standins.fleet import free_address
+from filbertreach_standins.ports import free_address
 
 GRACE_SECONDS = 3.0
 """Grace period of the gateways."""
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from filbertreach_standins.fleet import DaemonProcess, Fleet, FleetOptions, free_address
+from filbertreach_standins.fleet import DaemonProcess, Fleet, FleetOptions
+from filbertreach_standins.ports import free_address
 
 _WAIT_SECONDS = 30
 _SLOW_SERVICE_MS = 20_000
