A message that is nested too deeply is an invalid message

What callers saw: all gateways end within seconds of one malformed entry in the store, with 2 KB of brackets in a field that is not read ('connection refused' at each in the test).

Cause: msgspec raises RecursionError, which is not one of its own errors, so none of the callers caught it, and the task that follows the store ended the process. The same at every other decoder: store, host list, leaf and document entries, host and call records, neighbours, leaves of dispatch, requests of callers, frames between processes.

All of them use JsonDecoder or MsgpackDecoder of filbertreach.schema now, which raise one declared error for whatever a message may be. test_an_entry_that_is_nested_too_deeply_is_ignored failed before and passes now.

--- a/filbertreach/agent/_call_records.py
+++ b/filbertreach/agent/_call_records.py
@@ -2,14 +2,13 @@
 
 import logging
 
-import msgspec
-
 from filbertreach.changes import CallRecord
 from filbertreach.platform import KeyValueListing, WatchBatch
 from filbertreach.records import ENVIRONMENTS_PREFIX
-from filbertreach.schema import CallBoardCopy, CallCopy
+from filbertreach.schema import CallBoardCopy, CallCopy, InvalidMessageError, JsonDecoder
 
 _LOGGER = logging.getLogger(__name__)
+_RECORD_DECODER = JsonDecoder(message=CallRecord)
 
 
 class CallRecordTable:
@@ -96,8 +95,8 @@
     if not _is_call_key(key):
         return None
     try:
-        record = msgspec.json.decode(value, type=CallRecord)
-    except msgspec.MsgspecError as error:
+        record = _RECORD_DECODER.decode(value)
+    except InvalidMessageError as error:
         _LOGGER.error("ignored invalid call record %s: %s", key, error)
         return None
     environment, _, change, client = key.removeprefix(ENVIRONMENTS_PREFIX).split("/")
--- a/filbertreach/agent/_values.py
+++ b/filbertreach/agent/_values.py
@@ -3,12 +3,12 @@
 import hashlib
 from typing import NotRequired
 
-import msgspec
 from returns.result import Failure, Result, Success
 from typing_extensions import TypedDict
 
 from filbertreach.agent._errors import ValueFormatError
 from filbertreach.records import ENVIRONMENTS_PREFIX, HostRecord
+from filbertreach.schema import InvalidMessageError, JsonDecoder
 
 
 class DocumentValue(TypedDict):
@@ -35,6 +35,10 @@
     """UTC time of acceptance; only in `/accepted`."""
 
 
+_DOCUMENT_DECODER = JsonDecoder(message=DocumentValue)
+_HOST_DECODER = JsonDecoder(message=HostRecord)
+
+
 def sha256_hex(text: str) -> str:
     """Returns the SHA-256 of the text's UTF-8 bytes, in hexadecimal."""
     return hashlib.sha256(text.encode()).hexdigest()
@@ -51,8 +55,8 @@
         The value, or a ValueFormatError that describes what is invalid.
     """
     try:
-        decoded = msgspec.json.decode(value, type=DocumentValue)
-    except msgspec.MsgspecError as error:
+        decoded = _DOCUMENT_DECODER.decode(value)
+    except InvalidMessageError as error:
         return Failure(ValueFormatError(f"{key}: {error}"))
     environment = key.removeprefix(ENVIRONMENTS_PREFIX).rpartition("/")[0]
     if decoded["environment"] != environment:
@@ -72,6 +76,6 @@
         The record, or a ValueFormatError that describes what is invalid.
     """
     try:
-        return Success(msgspec.json.decode(value, type=HostRecord))
-    except msgspec.MsgspecError as error:
+        return Success(_HOST_DECODER.decode(value))
+    except InvalidMessageError as error:
         return Failure(ValueFormatError(f"{key}: {error}"))
--- a/filbertreach/dispatch/_exchange.py
+++ b/filbertreach/dispatch/_exchange.py
@@ -17,7 +17,7 @@
     VersionUnavailableError,
 )
 from filbertreach.document import Leaf
-from filbertreach.schema import Call
+from filbertreach.schema import Call, InvalidMessageError, JsonDecoder
 
 _MAX_BODY_BYTES = 8 * 1024 * 1024
 _STATUS_OK = 200
@@ -57,7 +57,7 @@
     """Body."""
 
 
-_BODY_DECODER = msgspec.json.Decoder(SearchBody)
+_BODY_DECODER = JsonDecoder(message=SearchBody)
 _BODY_ENCODER = msgspec.json.Encoder()
 
 
@@ -217,7 +217,7 @@
 def _checked_body(leaf: Leaf, call: Call, call_id: str, body: bytes) -> SearchBody:
     try:
         answer = _BODY_DECODER.decode(body)
-    except msgspec.DecodeError as error:
+    except InvalidMessageError as error:
         raise InvalidResponseError(message=f"{leaf.id}: {error}", started=True) from error
     expected = {"call_id": call_id, "shard": call["shard"], "version": call["version"]}
     for name, value in expected.items():
--- a/filbertreach/dispatch/_leaf_link.py
+++ b/filbertreach/dispatch/_leaf_link.py
@@ -16,6 +16,7 @@
 from filbertreach.dispatch._exchange import LeafResponse, new_connection, request
 from filbertreach.dispatch._metrics import CONNECTIONS_REPLACED, LEAF_CONNECTIONS
 from filbertreach.dispatch._pending import Attempt
+from filbertreach.schema import InvalidMessageError, JsonDecoder
 from filbertreach.timing import Clock
 
 IDLE_TIMEOUT_SECONDS = 5.0
@@ -43,6 +44,10 @@
     versions: list[int]
 
 
+_HEALTH_DECODER = JsonDecoder(message=_HealthBody)
+_VERSIONS_DECODER = JsonDecoder(message=_VersionsBody)
+
+
 class _Connection:
     """State shared with the task of one connection."""
 
@@ -304,13 +309,11 @@
         health = await self._get(http, "/v1/health")
         versions = await self._get(http, "/v1/versions")
         now = self._clock.now()
-        with contextlib.suppress(msgspec.DecodeError):
-            self._versions = frozenset(
-                msgspec.json.decode(versions.body, type=_VersionsBody).versions
-            )
+        with contextlib.suppress(InvalidMessageError):
+            self._versions = frozenset(_VERSIONS_DECODER.decode(versions.body).versions)
             self._versions_at = now
-        with contextlib.suppress(msgspec.DecodeError):
-            state = msgspec.json.decode(health.body, type=_HealthBody).state
+        with contextlib.suppress(InvalidMessageError):
+            state = _HEALTH_DECODER.decode(health.body).state
             self.record_leaving("health", now, leaving=state == "draining")
             if state == "starting":
                 self.tracker.record_reported_state("starting", now)
--- a/filbertreach/entry/_request.py
+++ b/filbertreach/entry/_request.py
@@ -9,6 +9,7 @@
 from filbertreach.document import Application, Environment, Rank
 from filbertreach.entry._problems import ProblemError
 from filbertreach.observability import is_trace_parent
+from filbertreach.schema import InvalidMessageError, JsonDecoder
 
 _NAME_PATTERN = r"^[A-Za-z0-9._:@-]{1,128}$"
 _SINGLE_HEADERS = (
@@ -96,7 +97,7 @@
     """Token of an `authorization: Bearer` header, or an empty string."""
 
 
-_DECODER = msgspec.json.Decoder(QueryBody)
+_DECODER = JsonDecoder(message=QueryBody)
 
 
 def parse_headers(raw: list[tuple[bytes, bytes]]) -> Headers:
@@ -140,7 +141,7 @@
     """
     try:
         return _DECODER.decode(content)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except InvalidMessageError as error:
         raise ProblemError("bad-request", f"the body is not a query: {error}") from error
 
 
--- a/filbertreach/gateway/_neighbours.py
+++ b/filbertreach/gateway/_neighbours.py
@@ -18,7 +18,7 @@
 
 from filbertreach.observability import get_logger
 from filbertreach.platform import ExchangeError, HttpChannel, HttpResponse
-from filbertreach.schema import KnownHost, KnownHosts, StoreNews
+from filbertreach.schema import InvalidMessageError, JsonDecoder, KnownHost, KnownHosts, StoreNews
 from filbertreach.timing import Clock
 
 HOSTS_PATH = "/v1/hosts"
@@ -98,8 +98,8 @@
         """Numbers of hosts known within the last `_HOST_EXPIRY_SECONDS`, oldest first."""
         self._excluded_until_by_name: dict[str, float] = {}
         self._channel_by_address: dict[str, HttpChannel] = {}
-        self._hosts_decoder = msgspec.json.Decoder(KnownHosts)
-        self._changes_decoder = msgspec.json.Decoder(StoreNews)
+        self._hosts_decoder = JsonDecoder(message=KnownHosts)
+        self._changes_decoder = JsonDecoder(message=StoreNews)
 
     async def __aenter__(self) -> Self:
         """Returns this object; connections are opened on demand."""
@@ -221,7 +221,7 @@
         try:
             answer = await self._get(seed, HOSTS_PATH, query, wait_seconds=0.0)
             hosts = self._hosts_decoder.decode(_decompress(answer.body))
-        except (ExchangeError, NeighbourError, msgspec.MsgspecError, zlib.error) as error:
+        except (ExchangeError, NeighbourError, InvalidMessageError, zlib.error) as error:
             _LOGGER.info("seed did not answer", seed=seed, error=str(error))
             return
         now = self._clock.now()
@@ -253,7 +253,7 @@
                 reader["address"], CHANGES_PATH, query, wait_seconds=wait_seconds
             )
             return Success(self._changes_decoder.decode(_decompress(answer.body)))
-        except (ExchangeError, msgspec.MsgspecError, zlib.error) as error:
+        except (ExchangeError, InvalidMessageError, zlib.error) as error:
             return Failure(NeighbourError(str(error)))
         except NeighbourError as error:
             return Failure(error)
--- a/filbertreach/platform/_deployment_store.py
+++ b/filbertreach/platform/_deployment_store.py
@@ -15,6 +15,7 @@
     PlatformUnavailableError,
     RateLimitedError,
 )
+from filbertreach.schema import InvalidMessageError, JsonDecoder
 
 ALL_KEYS = ""
 """Prefix that every key has."""
@@ -83,6 +84,8 @@
     at_rev: int
 
 
+_RANGE_DECODER = JsonDecoder(message=_Range)
+_WATCH_DECODER = JsonDecoder(message=_Watch)
 _Body = TypeVar("_Body")
 
 
@@ -111,7 +114,7 @@
         revision: int | None = None
         query = {"prefix": prefix}
         for _ in range(_MAX_PAGES):
-            match await self._call("list", "/-/kv-range", query, _Range):
+            match await self._call("list", "/-/kv-range", query, _RANGE_DECODER):
                 case Success(page):
                     pass
                 case Failure(error):
@@ -137,7 +140,7 @@
             The changes; HistoryLostError if the keys must be listed again.
         """
         query = {"prefix": prefix, "after": str(after), "wait_ms": str(round(wait_seconds * 1000))}
-        response = await self._call("watch", "/-/kv-watch", query, _Watch, wait_seconds)
+        response = await self._call("watch", "/-/kv-watch", query, _WATCH_DECODER, wait_seconds)
         return response.map(_to_changes)
 
     async def _call(
@@ -145,7 +148,7 @@
         kind: str,
         path: str,
         query: dict[str, str],
-        body: type[_Body],
+        decoder: JsonDecoder[_Body],
         extra_seconds: float = 0.0,
     ) -> Result[_Body, PlatformError]:
         self.calls_by_kind[kind] += 1
@@ -159,8 +162,8 @@
         if response.status != 200:
             return Failure(_error_from_response(response, target))
         try:
-            return Success(msgspec.json.decode(response.body, type=body))
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            return Success(decoder.decode(response.body))
+        except InvalidMessageError as error:
             return Failure(PlatformUnavailableError(f"{target}: invalid response: {error}"))
 
 
--- a/filbertreach/platform/_host_list.py
+++ b/filbertreach/platform/_host_list.py
@@ -2,12 +2,12 @@
 
 from typing import Literal, NamedTuple
 
-import msgspec
 from returns.result import Failure, Result, Success
 from typing_extensions import TypedDict
 
 from filbertreach.platform._channel import ChannelClient, ExchangeError
 from filbertreach.platform._errors import PlatformError, PlatformUnavailableError
+from filbertreach.schema import InvalidMessageError, JsonDecoder
 from filbertreach.timing import Clock, SystemClock
 
 
@@ -53,6 +53,9 @@
     as_of: float
 
 
+_HOSTS_DECODER = JsonDecoder(message=_HostsBody)
+
+
 class HostListClient(ChannelClient):
     """Client of the host list; a context manager."""
 
@@ -84,8 +87,8 @@
         if response.status != 200:
             return Failure(PlatformUnavailableError(f"GET /v1/hosts: status {response.status}"))
         try:
-            body = msgspec.json.decode(response.body, type=_HostsBody)
-        except msgspec.MsgspecError as error:
+            body = _HOSTS_DECODER.decode(response.body)
+        except InvalidMessageError as error:
             return Failure(PlatformUnavailableError(f"GET /v1/hosts: invalid body: {error}"))
         hosts = {host["host"]: Host(**host) for host in body["hosts"]}
         return Success(HostList(hosts, body["as_of"], read_at))
--- a/filbertreach/platform/_key_value.py
+++ b/filbertreach/platform/_key_value.py
@@ -19,6 +19,7 @@
     RateLimitedError,
     TooLargeError,
 )
+from filbertreach.schema import InvalidMessageError, JsonDecoder
 from filbertreach.timing import Clock, SystemClock
 
 MAX_VALUE_BYTES = 1_000_000
@@ -120,6 +121,14 @@
     revision: int
 
 
+_ITEM_DECODER = JsonDecoder(message=_ItemBody)
+_LIST_DECODER = JsonDecoder(message=_ListBody)
+_REVISION_DECODER = JsonDecoder(message=_RevisionBody)
+_LEASE_DECODER = JsonDecoder(message=_LeaseBody)
+_WATCH_DECODER = JsonDecoder(message=_WatchBody)
+_ANY_DECODER = JsonDecoder(message=dict[str, object])
+
+
 class KeyValueClient(ChannelClient):
     """Client of the key-value service; a context manager. Safe to use from several tasks.
 
@@ -149,7 +158,7 @@
         Returns:
             The item; KeyNotFoundError if the key does not exist.
         """
-        response = await self._call("get", key, "GET", _key_target(key), _ItemBody)
+        response = await self._call("get", key, "GET", _key_target(key), _ITEM_DECODER)
         return response.map(lambda body: KeyValueItem(**body))
 
     async def list_prefix(self, prefix: str) -> Result[KeyValueListing, PlatformError]:
@@ -162,7 +171,7 @@
             The items and the revision from which to watch.
         """
         target = "/v1/keys?" + urllib.parse.urlencode({"prefix": prefix})
-        response = await self._call("list", prefix, "GET", target, _ListBody)
+        response = await self._call("list", prefix, "GET", target, _LIST_DECODER)
         return response.map(_to_listing)
 
     async def put(
@@ -188,7 +197,7 @@
             message = f"the value of {key!r} has {size:,} bytes; at most {MAX_VALUE_BYTES:,} fit"
             return Failure(TooLargeError(message))
         body = {"value": value, "expected_revision": expected_revision, "lease": lease}
-        response = await self._call("put", key, "PUT", _key_target(key), _RevisionBody, body)
+        response = await self._call("put", key, "PUT", _key_target(key), _REVISION_DECODER, body)
         return response.map(lambda body: body["revision"])
 
     async def delete(
@@ -206,7 +215,7 @@
         target = _key_target(key)
         if expected_revision is not None:
             target += f"?expected_revision={expected_revision}"
-        response = await self._call("delete", key, "DELETE", target, _RevisionBody)
+        response = await self._call("delete", key, "DELETE", target, _REVISION_DECODER)
         return response.map(lambda body: body["revision"])
 
     async def grant_lease(self, ttl_seconds: float) -> Result[Lease, PlatformError]:
@@ -220,7 +229,7 @@
         """
         sent_at = self.clock.now()
         body = {"ttl_seconds": ttl_seconds}
-        response = await self._call("grant_lease", "", "POST", "/v1/leases", _LeaseBody, body)
+        response = await self._call("grant_lease", "", "POST", "/v1/leases", _LEASE_DECODER, body)
         valid_until = _valid_until(sent_at, ttl_seconds)
         return response.map(lambda body: Lease(body["lease"], ttl_seconds, valid_until))
 
@@ -236,7 +245,7 @@
         """
         sent_at = self.clock.now()
         target = f"/v1/leases/{urllib.parse.quote(lease.id, safe='')}/renew"
-        response = await self._call("renew_lease", lease.id, "POST", target, dict)
+        response = await self._call("renew_lease", lease.id, "POST", target, _ANY_DECODER)
         valid_until = _valid_until(sent_at, lease.ttl_seconds)
         return response.map(lambda _body: lease._replace(valid_until=valid_until))
 
@@ -250,7 +259,7 @@
             None; LeaseExpiredError if the service no longer has it.
         """
         target = f"/v1/leases/{urllib.parse.quote(lease.id, safe='')}"
-        response = await self._call("revoke_lease", lease.id, "DELETE", target, dict)
+        response = await self._call("revoke_lease", lease.id, "DELETE", target, _ANY_DECODER)
         return response.map(lambda _body: None)
 
     async def watch(
@@ -269,7 +278,7 @@
         parameters = {"prefix": prefix, "after": after, "wait_seconds": f"{wait_seconds:g}"}
         target = "/v1/watch?" + urllib.parse.urlencode(parameters)
         response = await self._call(
-            "watch", prefix, "GET", target, _WatchBody, extra_seconds=wait_seconds
+            "watch", prefix, "GET", target, _WATCH_DECODER, extra_seconds=wait_seconds
         )
         return response.map(_to_watch_batch)
 
@@ -279,7 +288,7 @@
         subject: str,
         method: str,
         target: str,
-        body_type: type[_Body],
+        decoder: JsonDecoder[_Body],
         body: dict[str, Any] | None = None,
         extra_seconds: float = 0.0,
     ) -> Result[_Body, PlatformError]:
@@ -295,9 +304,9 @@
             return Failure(PlatformUnavailableError(str(error)))
         try:
             if response.status == 200:
-                return Success(msgspec.json.decode(response.body, type=body_type))
+                return Success(decoder.decode(response.body))
             return Failure(_error_from_response(kind, subject, response))
-        except msgspec.MsgspecError as error:
+        except InvalidMessageError as error:
             message = f"{method} {target}: status {response.status} with an unusable body: {error}"
             return Failure(_unusable_response_error(kind, message))
 
@@ -314,7 +323,7 @@
         case 404:
             return KeyNotFoundError(f"key {subject!r} does not exist")
         case 409:
-            body = msgspec.json.decode(response.body, type=_RevisionBody)
+            body = _REVISION_DECODER.decode(response.body)
             return ConflictError(key=subject, current_revision=body["revision"])
         case 410:
             return LeaseExpiredError(f"{kind} {subject!r}: the lease has expired")
--- a/filbertreach/platform/_leaf_entries.py
+++ b/filbertreach/platform/_leaf_entries.py
@@ -8,6 +8,7 @@
 from filbertreach.document import Leaf
 from filbertreach.platform._boot import parse_address
 from filbertreach.platform._deployment_store import StoredItem
+from filbertreach.schema import JsonDecoder
 
 LEAVES_PREFIX = "servers/"
 """Prefix of the entries' keys; the rest of the key is the leaf id."""
@@ -42,7 +43,7 @@
     born: int = 0
 
 
-_DECODER = msgspec.json.Decoder(_Entry)
+_DECODER = JsonDecoder(message=_Entry)
 
 
 def decode_leaf_entry(
@@ -62,7 +63,7 @@
         entry = _DECODER.decode(item.value or b"")
         parse_address(entry.address)
         leaf_id.encode("ascii")
-    except (msgspec.MsgspecError, ValueError) as error:
+    except ValueError as error:
         return Failure(LeafEntryError(f"entry {item.key!r} is ignored: {error}"))
     if not leaf_id or any(character <= " " for character in leaf_id):
         return Failure(LeafEntryError(f"entry {item.key!r} is ignored: invalid leaf id"))
--- a/filbertreach/platform/_operator_routes.py
+++ b/filbertreach/platform/_operator_routes.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from filbertreach.document import CallerLimits, Route, RouteTable, ServiceLimits
+from filbertreach.schema import InvalidMessageError, JsonDecoder
 
 ROUTES_KEY = "op/config"
 """Key of the current configuration."""
@@ -60,7 +61,7 @@
     limits: _Limits
 
 
-_DECODER = msgspec.json.Decoder(_Configuration)
+_DECODER = JsonDecoder(message=_Configuration)
 
 
 def decode_routes(value: bytes | None) -> Result[RouteTable, RoutesError]:
@@ -74,7 +75,7 @@
     """
     try:
         body = _DECODER.decode(value or b"")
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except InvalidMessageError as error:
         return Failure(RoutesError(f"configuration can't be read: {error}"))
     by_host: dict[str, list[Route]] = collections.defaultdict(list)
     for route in body.routes:
--- a/filbertreach/schema/__init__.py
+++ b/filbertreach/schema/__init__.py
@@ -1,5 +1,6 @@
 """Messages, settings and documents: types generated from JSON Schema, and the schemas."""
 
+from filbertreach.schema._decoders import InvalidMessageError, JsonDecoder, MsgpackDecoder
 from filbertreach.schema._generated_ctl import CtlPlatformSection, CtlSection, CtlSettings
 from filbertreach.schema._generated_document import (
     ApplicationSection,
@@ -74,11 +75,14 @@
     "Hello",
     "HostListNews",
     "HostState",
+    "InvalidMessageError",
+    "JsonDecoder",
     "KnownHost",
     "KnownHosts",
     "Load",
     "MapSection",
     "Member",
+    "MsgpackDecoder",
     "ObservabilitySection",
     "PlatformSection",
     "PolicySection",
--- a/filbertreach/transport/_transport.py
+++ b/filbertreach/transport/_transport.py
@@ -15,7 +15,7 @@
 import msgspec
 import pynng
 
-from filbertreach.schema import Frame
+from filbertreach.schema import Frame, InvalidMessageError, MsgpackDecoder
 from filbertreach.timing import Clock, SystemClock
 from filbertreach.transport._errors import TransportError
 from filbertreach.transport._peer import ConnectionState, Peer, PeerState, SentFrame
@@ -103,7 +103,7 @@
         self._inbox: pynng.Pull0 | None = None
         self._group: anyio.abc.TaskGroup | None = None
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Frame)
+        self._decoder = MsgpackDecoder(message=Frame)
 
     async def __aenter__(self) -> Self:
         """Listens and starts the inbox task.
@@ -219,7 +219,7 @@
             data = await self._inbox.arecv()
             try:
                 frame = self._decoder.decode(data)
-            except msgspec.DecodeError as error:
+            except InvalidMessageError as error:
                 _LOGGER.warning("invalid frame dropped: %s", error)
                 continue
             self._handle_frame(frame)
--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -187,6 +187,20 @@
     assert not executed & refused
 
 
+def test_an_entry_that_is_nested_too_deeply_is_ignored(deployment: Deployment) -> None:
+    """Guards against one malformed entry of another writer that ends every gateway."""
+    nested = '{"unknown":' + "[" * 5000 + "]" * 5000 + "}"
+    deployment.write_keys({"servers/nested": nested, "servers/empty": ""})
+    time.sleep(_BOUND_SECONDS)
+    leaf = deployment.leaves[0]
+    deployment.write_leaf_entry(leaf, "draining")
+    time.sleep(_BOUND_SECONDS)
+    leaf.reset()
+    for gateway in deployment.gateways:
+        assert gateway.request("/v1/x", gateway.name).status == 200
+    assert leaf.counters()["executions"] == 0
+
+
 def test_a_draining_leaf_gets_no_request_from_any_gateway(deployment: Deployment) -> None:
     leaf = deployment.leaves[0]
     deployment.write_leaf_entry(leaf, "draining")
