A line that only looks like a section header is reported, not raised

An agent that reads such a document from the store, or a daemon that reads its settings again, would have ended.

Headers are found by configparser's own pattern, after inline comments are cut, and lines are split as it splits them. Three rows of the test failed before and pass now.

--- a/filbertreach/settings/_reader.py
+++ b/filbertreach/settings/_reader.py
@@ -1,12 +1,16 @@
 """Reads INI text and records the line number of each section and option."""
 
 import configparser
+import io
+import re
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
 
 from filbertreach.settings._errors import SettingsError, SettingsProblem
 
+_INLINE_COMMENT = re.compile(r"\s[;#]")
+
 
 class IniOption(NamedTuple):
     """An option of an INI text."""
@@ -77,11 +81,12 @@
     section_by_name: dict[str, IniSection] = {}
     section: IniSection | None = None
     options: configparser.SectionProxy | None = None
-    for number, line in enumerate(text.splitlines(), start=1):
+    for number, line in enumerate(io.StringIO(text), start=1):
         if not line.strip() or line[0] in " \t;#":
             continue
-        if line.startswith("["):
-            name = line[1 : line.rindex("]")]
+        header = parser.SECTCRE.match(_INLINE_COMMENT.split(line, maxsplit=1)[0])
+        if header is not None:
+            name = header["header"]
             section = section_by_name[name] = IniSection(line=number, option_by_name={})
             options = parser[name]
             continue
--- a/filbertreach/settings/tests/test_check.py
+++ b/filbertreach/settings/tests/test_check.py
@@ -37,6 +37,10 @@
         ),
         (_GOOD + "[entry]\nmax_rows = 0\n", "line 9: [entry] max_rows = '0': allowed: a whole"),
         (_GOOD + "drain_seconds = nan\n", "allowed: a number from 0 to 300"),
+        # Lines that look like a section header and are none.
+        (_GOOD + "[[[ = 1\n", "line 8: [process] [[[ = '1': unknown option"),
+        (_GOOD + "[unknown] ; ]\n", "line 8: [unknown]: unknown section"),
+        (_GOOD + "a = b\f[other]\n", "line 8: [process] a = "),
         (_GOOD + "name = again\n", "line 8: [process] name: duplicate option; remove one"),
         (
             _GOOD + "[process]\n",
