Bound the delay that a refusal of the platform asks for

The lease keeper and the writer of the host record sleep for that long: 'inf' ends the registration of a host for good, a negative number makes it call without a pause, and 'nan' breaks the order of the event loop's timers.

HttpResponse parses the header once for both clients (it stood twice, with two defaults), between 0.1 and 30 s, 1 s if it is no number. The test has no counterpart before: the parsing was private to each client; 'nan', 'inf' and '-5' came back as they were.

--- a/filbertreach/platform/_channel.py
+++ b/filbertreach/platform/_channel.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import math
 from collections.abc import AsyncIterator
 from types import TracebackType
 from typing import Any, NamedTuple, Self
@@ -12,6 +13,12 @@
 _MAX_BODY_BYTES = 64_000_000
 """Larger response bodies are rejected, so that a faulty service can't exhaust the memory."""
 _MAX_CONNECTIONS = 32
+_DEFAULT_RETRY_SECONDS = 1.0
+"""Delay after a refusal without a valid Retry-After header."""
+_MIN_RETRY_SECONDS = 0.1
+"""Shortest delay after a refusal, whatever the service asks for."""
+_MAX_RETRY_SECONDS = 30.0
+"""Longest delay after a refusal. A faulty service must not keep a host from calling it for good."""
 
 
 class HttpResponse(NamedTuple):
@@ -24,6 +31,17 @@
     body: bytes
     """Body."""
 
+    @property
+    def retry_after_seconds(self) -> float:
+        """Delay after which a refused call may be repeated, in seconds."""
+        try:
+            seconds = float(self.headers.get(b"retry-after", b""))
+        except ValueError:
+            return _DEFAULT_RETRY_SECONDS
+        if math.isnan(seconds):
+            return _DEFAULT_RETRY_SECONDS
+        return min(_MAX_RETRY_SECONDS, max(_MIN_RETRY_SECONDS, seconds))
+
 
 class ExchangeError(Exception):
     """An HTTP request that got no complete response."""
--- a/filbertreach/platform/_deployment_store.py
+++ b/filbertreach/platform/_deployment_store.py
@@ -19,8 +19,6 @@
 
 ALL_KEYS = ""
 """Prefix that every key has."""
-_DEFAULT_RETRY_SECONDS = 0.5
-"""Delay after a 429 response without a valid Retry-After header."""
 _MAX_PAGES = 1000
 """A listing with more pages than this fails, in case a faulty store repeats pages forever."""
 
@@ -171,11 +169,7 @@
     if response.status == 410:
         return HistoryLostError(f"{target}: the history is no longer available")
     if response.status == 429:
-        try:
-            seconds = float(response.headers.get(b"retry-after", b""))
-        except ValueError:
-            seconds = _DEFAULT_RETRY_SECONDS
-        return RateLimitedError(retry_after_seconds=seconds)
+        return RateLimitedError(retry_after_seconds=response.retry_after_seconds)
     return PlatformUnavailableError(f"{target}: status {response.status}")
 
 
--- a/filbertreach/platform/_key_value.py
+++ b/filbertreach/platform/_key_value.py
@@ -25,8 +25,6 @@
 MAX_VALUE_BYTES = 1_000_000
 """Largest value that the platform accepts, in bytes of UTF-8."""
 
-_DEFAULT_RETRY_SECONDS = 1.0
-"""Delay after a 429 response without a valid Retry-After header."""
 _CLOCK_DRIFT_SHARE = 0.001
 """Each of two clocks can be wrong by up to 500 ppm while it is being corrected."""
 
@@ -330,7 +328,7 @@
         case 413:
             return TooLargeError(f"the platform refused the value of {subject!r} as too large")
         case 429:
-            return RateLimitedError(retry_after_seconds=_retry_after_seconds(response))
+            return RateLimitedError(retry_after_seconds=response.retry_after_seconds)
         case 503:
             # By contract, the service responds with 503 only if the call had no effect.
             return PlatformUnavailableError(message)
@@ -339,13 +337,6 @@
     return _unusable_response_error(kind, message)
 
 
-def _retry_after_seconds(response: HttpResponse) -> float:
-    try:
-        return float(response.headers.get(b"retry-after", b""))
-    except ValueError:
-        return _DEFAULT_RETRY_SECONDS
-
-
 def _valid_until(sent_at: float, ttl_seconds: float) -> float:
     return sent_at + ttl_seconds * (1 - _CLOCK_DRIFT_SHARE)
 
--- a/filbertreach/platform/tests/test_platform_clients.py
+++ b/filbertreach/platform/tests/test_platform_clients.py
@@ -10,6 +10,7 @@
     ConflictError,
     Host,
     HostListClient,
+    HttpResponse,
     InvalidCallError,
     KeyNotFoundError,
     KeyValueClient,
@@ -96,6 +97,17 @@
 READS, WRITES = (get, list_prefix, watch), (put, delete, grant)
 
 
+@pytest.mark.parametrize(
+    ("value", "seconds"),
+    [(b"2.5", 2.5), (b"", 1.0), (b"soon", 1.0), (b"nan", 1.0), (b"inf", 30.0), (b"-5", 0.1)],
+)
+def test_the_delay_that_a_refusal_asks_for_is_bounded(value, seconds):
+    # Guards against a faulty service that stops the calls of a host for good, or makes it call
+    # without a pause.
+    response = HttpResponse(429, {b"retry-after": value}, b"")
+    assert response.retry_after_seconds == seconds
+
+
 @pytest.mark.parametrize(
     ("faults", "call", "error"),
     [
