A test that answers without end harm no other query

Every query is answered without that shard, the gateway stays ready, and its memory stays below 200 MB, which is what a process has on the smallest hosts; the shard is in the answers again once the leaves are sound.

--- a/filbertreach_standins/deployment/_leaf.py
+++ b/filbertreach_standins/deployment/_leaf.py
@@ -20,8 +20,17 @@
         "requests per second that answers name as the limit of the leaf; 0: none",
     ),
     Fault("hang", False, one_of(False, True), "true: requests are never answered"),
+    Fault(
+        "endless",
+        False,
+        one_of(False, "head", "body"),
+        "part of the answer that is sent as fast as the connection takes it, until it closes",
+    ),
 )
 """Faults in addition to `CONNECTION_FAULTS`."""
+_FILLER_BYTES = 16_384
+"""Size of a header or a chunk that is sent again and again."""
+_MAX_UNSENT_BYTES = 1_000_000
 
 
 def records_of(leaf_id: str) -> bytes:
@@ -79,6 +88,9 @@
         execution_count = len(self._executions)
         if self.faults.value("hang"):
             await anyio.sleep_forever()
+        if endless := self.faults.value("endless"):
+            await _send_without_end(connection, endless)
+            return
         await anyio.sleep(self.faults.value("work_ms") / 1000.0)
         status = 500 if self.generator.random() < self.faults.value("grey") else 200
         stamp = f"{self._leaf_id}.{request_id.decode()}.{execution_count}.{status}".encode()
@@ -86,3 +98,20 @@
         if limit := self.faults.value("request_limit"):
             stamp_headers.append((b"server-limit", str(limit).encode()))
         await send_bytes(send, status, records_of(self._leaf_id), stamp_headers)
+
+
+async def _send_without_end(connection: Connection, part: str) -> None:
+    """Sends a head or a body until the connection is closed."""
+    transport = connection.transport
+    if part == "head":
+        begin, repeated = b"HTTP/1.1 200 OK\r\n", b"x-filler: " + b"a" * _FILLER_BYTES + b"\r\n"
+    else:
+        begin = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        repeated = b"%x\r\n" % _FILLER_BYTES + b"a" * _FILLER_BYTES + b"\r\n"
+    transport.write(begin)
+    while not transport.is_closing():
+        if transport.get_write_buffer_size() < _MAX_UNSENT_BYTES:
+            transport.write(repeated)
+            await anyio.sleep(0)
+        else:
+            await anyio.sleep(0.001)
--- a/filbertreach_standins/gateways/_process.py
+++ b/filbertreach_standins/gateways/_process.py
@@ -118,6 +118,12 @@
         """Whether the process has been started and has not exited."""
         return self._process is not None and self._process.poll() is None
 
+    def peak_memory_bytes(self) -> int:
+        """Returns the largest resident memory that the running process has had."""
+        assert self._process is not None
+        status = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
+        return 1024 * int(status.split("VmHWM:")[1].split()[0])
+
     def wait_ready(self) -> None:
         """Waits until the process is ready.
 
--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -18,6 +18,9 @@
     Response,
 )
 
+_FIRST_SHARD = "shard-0"
+_SMALLEST_HOST_BYTES = 200_000_000
+"""Memory of a process on the smallest hosts of the deployments."""
 _BOUND_SECONDS = 5.0
 """Time within which configuration and draining must take effect."""
 
@@ -187,6 +190,26 @@
     assert not executed & refused
 
 
+@pytest.mark.parametrize("part", ["head", "body"])
+def test_answers_without_end_harm_no_other_query(deployment: Deployment, part: str) -> None:
+    """Guards against leaves whose answers fill the memory of a gateway or keep it busy."""
+    gateway = deployment.gateways[0]
+    failing = [leaf for leaf in deployment.leaves if deployment.shard_of(leaf) == _FIRST_SHARD]
+    for leaf in failing:
+        leaf.set_faults(endless=part)
+    with _load(gateway, callers=6) as responses:
+        time.sleep(6.0)
+        assert gateway.is_ready()
+    assert len(responses) > 20
+    # The other shards are answered, which is more than queries need.
+    assert {response.status for response in responses} == {200}
+    assert {response.headers["x-missing-parts"] for response in responses} == {"1"}
+    assert gateway.peak_memory_bytes() < _SMALLEST_HOST_BYTES
+    for leaf in failing:
+        leaf.set_faults(endless=None)
+    _wait_until(lambda: gateway.request("/v1/x").headers.get("x-missing-parts", "0") == "0")
+
+
 def test_an_entry_that_is_nested_too_deeply_is_ignored(deployment: Deployment) -> None:
     """Guards against one malformed entry of another writer that ends every gateway."""
     nested = '{"unknown":' + "[" * 5000 + "]" * 5000 + "}"
