An empty page before the end of a listing makes the listing fail

The listing then lacks leaves, which the directory takes for leaves that have left.

No store has been seen to answer so.

--- a/filbertreach/platform/_deployment_store.py
+++ b/filbertreach/platform/_deployment_store.py
@@ -119,10 +119,15 @@
                     return Failure(error)
             revision = page.at_rev if revision is None else revision
             item_by_key.update((item.key, _to_item(item)) for item in page.items)
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 return Success(StoredListing(item_by_key, revision))
+            if not page.items:
+                # Taken for complete, the listing would lack leaves that are there.
+                break
             query = {"prefix": prefix, "after": page.items[-1].key}
-        return Failure(PlatformUnavailableError(f"listing of {prefix!r} has too many pages"))
+        return Failure(
+            PlatformUnavailableError(f"listing of {prefix!r} has an empty page or too many of them")
+        )
 
     async def watch(
         self, prefix: str, *, after: int, wait_seconds: float
