--- a/filbertreach/gateway/tests/test_neighbours.py
+++ b/filbertreach/gateway/tests/test_neighbours.py
@@ -85,19 +85,22 @@
     assert neighbours.fleet_size() == 1
 
 
+def _seed(address: str, known: list[str]) -> tuple[Neighbours, HttpServer]:
+    """Creates a seed that knows some hosts, and its server."""
+    clock = FakeClock()
+    seed = _neighbours(_ORDER[0], clock)
+    for name in known:
+        seed.on_announcement(_host(name), known_digest="")
+    application = neighbour_application(seed, ChangeLog(clock=clock))
+    return seed, HttpServer(address=address, application=application, drain_seconds=1.0)
+
+
 def test_the_fleet_does_not_seem_to_shrink_while_no_seed_answers() -> None:
     # Guards against hosts that are cut off from the seeds and then each take the part of all hosts.
     async def run() -> None:
-        seed_clock, clock = FakeClock(), FakeClock()
+        clock = FakeClock()
         seed_address = free_address()
-        seed = _neighbours(_ORDER[0], seed_clock)
-        for name in _NAMES:
-            seed.on_announcement(_host(name), known_digest="")
-        server = HttpServer(
-            address=seed_address,
-            application=neighbour_application(seed, ChangeLog(clock=seed_clock)),
-            drain_seconds=1.0,
-        )
+        _, server = _seed(seed_address, _NAMES)
         other = _neighbours(_ORDER[1], clock, seeds=(seed_address,))
         assert other.fleet_size() is None
         async with other, anyio.create_task_group() as group:
@@ -119,19 +122,12 @@
     # Guards against hosts that each take too large a part of a limit: a seed that has just been
     # restarted knows only the hosts that have announced themselves since.
     async def run() -> None:
-        seed_clock, clock = FakeClock(), FakeClock()
+        clock = FakeClock()
         seed_address = free_address()
         other = _neighbours(_ORDER[1], clock, seeds=(seed_address,))
         async with other:
             for known_to_seed in (_ORDER[2:], []):
-                seed = _neighbours(_ORDER[0], seed_clock)
-                for name in known_to_seed:
-                    seed.on_announcement(_host(name), known_digest="")
-                server = HttpServer(
-                    address=seed_address,
-                    application=neighbour_application(seed, ChangeLog(clock=seed_clock)),
-                    drain_seconds=1.0,
-                )
+                seed, server = _seed(seed_address, known_to_seed)
                 async with anyio.create_task_group() as serving:
                     await serving.start(server.run)
                     async with anyio.create_task_group() as announcing:
