--- a/experiments/_figures.py
+++ b/experiments/_figures.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 from experiments.load import Record
-from filbertreach_standins.fleet import DaemonProcess, Fleet
+from filbertreach_standins.daemon_process import DaemonProcess
+from filbertreach_standins.fleet import Fleet
 
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
--- a/experiments/configuration.py
+++ b/experiments/configuration.py
@@ -10,7 +10,8 @@
 from typing import Any
 
 from experiments._registry import experiment
-from filbertreach_standins.fleet import DaemonProcess, Fleet, FleetOptions
+from filbertreach_standins.daemon_process import DaemonProcess
+from filbertreach_standins.fleet import Fleet, FleetOptions
 
 _HOSTS = 8
 _POLL_SECONDS = 0.02
--- a/experiments/connections.py
+++ b/experiments/connections.py
@@ -6,7 +6,8 @@
 from experiments._figures import map_leaves, quantile, ratio, summary
 from experiments._registry import experiment
 from experiments.load import Stream, run_load
-from filbertreach_standins.fleet import DaemonProcess, Fleet, FleetOptions
+from filbertreach_standins.daemon_process import DaemonProcess
+from filbertreach_standins.fleet import Fleet, FleetOptions
 
 _SERVICE_MS = 10.0
 _ENTRIES = 3
--- a/experiments/division.py
+++ b/experiments/division.py
@@ -8,7 +8,8 @@
 import httpcore
 
 from experiments._registry import experiment
-from filbertreach_standins.fleet import DaemonProcess, Fleet, FleetOptions
+from filbertreach_standins.daemon_process import DaemonProcess
+from filbertreach_standins.fleet import Fleet, FleetOptions
 
 _FAN_OUTS = (4, 25, 100)
 _WARM_UP_QUERIES = 5
--- a/experiments/idle.py
+++ b/experiments/idle.py
@@ -11,7 +11,8 @@
 
 from experiments._figures import resident_bytes, sum_metric
 from experiments._registry import experiment
-from filbertreach_standins.fleet import DaemonProcess, Fleet, FleetOptions
+from filbertreach_standins.daemon_process import DaemonProcess
+from filbertreach_standins.fleet import Fleet, FleetOptions
 
 _SETTLE_SECONDS = 4.0
 _CHUNK_BYTES = 65536
--- a/experiments/recovery.py
+++ b/experiments/recovery.py
@@ -7,7 +7,8 @@
 from experiments._figures import quantile, ratio, records_between, summary
 from experiments._registry import experiment
 from experiments.load import Record, Stream, run_load
-from filbertreach_standins.fleet import DaemonProcess, Fleet, FleetOptions
+from filbertreach_standins.daemon_process import DaemonProcess
+from filbertreach_standins.fleet import Fleet, FleetOptions
 
 _SERVICE_MS = 10.0
 _QUERIES_PER_SECOND = 60.0
--- a/filbertreach_standins/faults/_callers.py
+++ b/filbertreach_standins/faults/_callers.py
@@ -10,8 +10,8 @@
 from typing import Any
 
 from filbertreach.timing import SystemClock
+from filbertreach_standins.daemon_process import DaemonProcess
 from filbertreach_standins.faults._record import Request, RunRecord
-from filbertreach_standins.fleet import DaemonProcess
 
 POLL_SECONDS = 0.2
 """Interval at which the balancer polls /readyz."""
--- a/filbertreach_standins/faults/_fault_kinds.py
+++ b/filbertreach_standins/faults/_fault_kinds.py
@@ -11,13 +11,14 @@
 
 from filbertreach.timing import SystemClock
 from filbertreach_standins._process import StandInControl
+from filbertreach_standins.daemon_process import DaemonProcess
 from filbertreach_standins.faults._record import (
     AcceptedGeneration,
     LeafDrain,
     PlannedStop,
     RunRecord,
 )
-from filbertreach_standins.fleet import DaemonProcess, Fleet
+from filbertreach_standins.fleet import Fleet
 
 _APPLY_WAIT_SECONDS = "40"
 _ACCEPTED_EXIT_CODES = (0, 6)
--- a/filbertreach_standins/faults/_relayed.py
+++ b/filbertreach_standins/faults/_relayed.py
@@ -5,7 +5,8 @@
 import anyio
 import anyio.from_thread
 
-from filbertreach_standins.fleet import DaemonProcess, Fleet, FleetOptions
+from filbertreach_standins.daemon_process import DaemonProcess
+from filbertreach_standins.fleet import Fleet, FleetOptions
 from filbertreach_standins.relay import Relay
 
 
--- a/filbertreach_standins/faults/run.py
+++ b/filbertreach_standins/faults/run.py
@@ -8,6 +8,7 @@
 from typing import Any, NamedTuple
 
 from filbertreach.timing import SystemClock
+from filbertreach_standins.daemon_process import DaemonProcess
 from filbertreach_standins.faults._callers import Balancer, LoadGenerator
 from filbertreach_standins.faults._checker import violations
 from filbertreach_standins.faults._fault_kinds import (
@@ -17,7 +18,7 @@
     fault_kinds_by_name,
 )
 from filbertreach_standins.faults._record import GenerationSample, RunRecord
-from filbertreach_standins.fleet import DaemonProcess, Fleet, FleetOptions
+from filbertreach_standins.fleet import Fleet, FleetOptions
 
 _INJECTORS = 2
 """Largest number of faults at a time."""
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from filbertreach_standins.fleet import DaemonProcess, Fleet, FleetOptions
+from filbertreach_standins.daemon_process import DaemonProcess
+from filbertreach_standins.fleet import Fleet, FleetOptions
 from filbertreach_standins.ports import free_address
 
 _WAIT_SECONDS = 30
