--- a/filbertreach/gateway/tests/test_query.py
+++ b/filbertreach/gateway/tests/test_query.py
@@ -332,6 +332,17 @@
     _run({"a": ["other", "ok"]}, test)
 
 
+def test_a_silent_leaf_keeps_a_request_that_must_not_run_twice() -> None:
+    # Guards against work that is started again elsewhere, or given up, as its leaf is only slow.
+    async def test(fleet: _Fleet) -> None:
+        query = _query(fleet, idempotent=False, scatter=False, objective=0.1, timeout=5.0)
+        result = await query.run()
+        assert result.answer.status == 200
+        assert [len(leaf.requests) for leaf in fleet.leaves["a"]] == [1, 0]
+
+    _run({"a": ["later", "ok"]}, test)
+
+
 def test_a_query_without_enough_shards_below_their_limit_is_refused_at_once() -> None:
     # Guards against queries that use up what limited leaves take and are then not answered.
     async def test(fleet: _Fleet) -> None:
