--- a/filbertreach/gateway/_token_bucket.py
+++ b/filbertreach/gateway/_token_bucket.py
@@ -2,10 +2,10 @@
 
 import random
 
-_BURST_SECONDS = 2.0
-"""Longest time for which unused requests are saved. Leaves tolerate as much beyond their limit."""
-_MAX_SAVED_SECONDS = 1.0
-"""Time for which requests are saved in addition to the next one."""
+_SAVED_SECONDS = 1.0
+"""Time for which requests are saved, in addition to one request."""
+_MAX_BURST_SECONDS = 2.0
+"""Time in which the rate yields the largest burst. Leaves tolerate as much beyond their limit."""
 _ROUNDING_TOLERANCE = 1e-9
 
 
@@ -67,4 +67,5 @@
 
 
 def _capacity(per_second: float) -> float:
-    return max(1.0, min(1.0 + per_second * _MAX_SAVED_SECONDS, per_second * _BURST_SECONDS))
+    """Returns the largest number of requests that are saved."""
+    return max(1.0, min(1.0 + per_second * _SAVED_SECONDS, per_second * _MAX_BURST_SECONDS))
