An announced host with an unusable address is refused

What callers would see: one announcement with an address like 'x:y' ends every gateway of a data centre that comes to choose the announced host as its reader, since opening the channel raises ValueError or TypeError, which nothing expects.

Addresses are checked where they come in: in announcements (400) and in the replies of seeds, which are then not used. parse_address takes IP addresses only, so it also covers texts that are no host (non-ASCII, line breaks) in leaf entries and settings. The hosts of the tests had port 0 for one, which is no address to connect to; they begin at 1 now.

--- a/filbertreach/gateway/_neighbours.py
+++ b/filbertreach/gateway/_neighbours.py
@@ -17,7 +17,7 @@
 from returns.result import Failure, Result, Success
 
 from filbertreach.observability import get_logger
-from filbertreach.platform import ExchangeError, HttpChannel, HttpResponse
+from filbertreach.platform import ExchangeError, HttpChannel, HttpResponse, parse_address
 from filbertreach.schema import InvalidMessageError, JsonDecoder, KnownHost, KnownHosts, StoreNews
 from filbertreach.timing import Clock
 
@@ -127,7 +127,11 @@
 
         Returns:
             The reply, which lists the hosts of its data centre unless the digest is up to date.
+
+        Raises:
+            ValueError: The address of the host is not ip:port.
         """
+        parse_address(host["address"])
         now = self._clock.now()
         self._sighting_by_name[host["name"]] = _Sighting(host, now)
         known = self._live_hosts(now)
@@ -221,7 +225,9 @@
         try:
             answer = await self._get(seed, HOSTS_PATH, query, wait_seconds=0.0)
             hosts = self._hosts_decoder.decode(_decompress(answer.body))
-        except (ExchangeError, NeighbourError, InvalidMessageError, zlib.error) as error:
+            for host in hosts.get("hosts", []):
+                parse_address(host["address"])
+        except (ExchangeError, NeighbourError, ValueError, zlib.error) as error:
             _LOGGER.info("seed did not answer", seed=seed, error=str(error))
             return
         now = self._clock.now()
--- a/filbertreach/gateway/tests/test_neighbours.py
+++ b/filbertreach/gateway/tests/test_neighbours.py
@@ -5,13 +5,14 @@
 from collections.abc import AsyncIterator
 
 import anyio
+import msgspec
 import pytest
 
 from filbertreach.gateway._change_log import ChangeLog
 from filbertreach.gateway._neighbour_application import neighbour_application
-from filbertreach.gateway._neighbours import Neighbours
-from filbertreach.observability import HttpServer
-from filbertreach.schema import KnownHost
+from filbertreach.gateway._neighbours import Neighbours, compress
+from filbertreach.observability import HttpServer, Receive, Scope, Send, respond
+from filbertreach.schema import KnownHost, KnownHosts
 from filbertreach.timing import FakeClock, SystemClock
 from filbertreach_standins.ports import free_address
 
@@ -20,7 +21,8 @@
 
 
 def _host(name: str, data_centre: str = "minho-1") -> KnownHost:
-    return KnownHost(name=name, address=f"127.0.0.1:{_NAMES.index(name)}", data_centre=data_centre)
+    address = f"127.0.0.1:{1 + _NAMES.index(name)}"
+    return KnownHost(name=name, address=address, data_centre=data_centre)
 
 
 def _neighbours(name: str, clock: FakeClock, seeds: tuple[str, ...] = ()) -> Neighbours:
@@ -203,7 +205,16 @@
 
 
 @pytest.mark.parametrize(
-    "target", ["/v1/hosts?name=a", "/v1/news?after=x&wait_ms=1", "/v1/news", "/v1/other"]
+    "target",
+    [
+        "/v1/hosts?name=a",
+        "/v1/hosts?name=a&address=x:y&data_centre=minho-1",
+        "/v1/hosts?name=a&address=127.0.0.1:70000&data_centre=minho-1",
+        "/v1/hosts?name=a&address=%C3%A9:80&data_centre=minho-1",
+        "/v1/news?after=x&wait_ms=1",
+        "/v1/news",
+        "/v1/other",
+    ],
 )
 def test_unusable_queries_of_neighbours_are_refused(target: str) -> None:
     async def run() -> None:
@@ -216,3 +227,32 @@
                 assert (await stream.receive())[9:12] in (b"400", b"404")
 
     anyio.run(run)
+
+
+def test_hosts_with_unusable_addresses_are_not_taken_from_a_seed() -> None:
+    # Guards against one announcement that ends the gateways of a data centre: they would follow a
+    # reader at an address to which no connection can be made.
+    async def run() -> None:
+        address = free_address()
+        listed = KnownHosts(total=2, digest="d", hosts=[{**_host("front-2"), "address": "x:y"}])
+        asked = anyio.Event()
+
+        async def application(scope: Scope, receive: Receive, send: Send) -> None:
+            if scope["type"] == "http":
+                await respond(send, 200, compress(msgspec.json.encode(listed)), "application/zlib")
+                asked.set()
+
+        server = HttpServer(address=address, application=application, drain_seconds=1.0)
+        neighbours = _neighbours("front-1", FakeClock(), seeds=(address,))
+        async with neighbours, anyio.create_task_group() as group:
+            await group.start(server.run)
+            group.start_soon(neighbours.run)
+            with anyio.fail_after(20):
+                await asked.wait()
+            await anyio.sleep(0.2)  # The reply arrives.
+            assert neighbours.reader() is None
+            assert neighbours.fleet_size() is None
+            server.stop()
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
--- a/filbertreach/platform/_boot.py
+++ b/filbertreach/platform/_boot.py
@@ -1,5 +1,6 @@
 """Settings that the platform passes to a process at start-up."""
 
+import ipaddress
 import os
 import tomllib
 from typing import Annotated, NamedTuple
@@ -133,7 +134,11 @@
         ValueError: The text is not ip:port.
     """
     host, _, port = address.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise ValueError(f"address is {address!r}; expected ip:port") from None
+    if not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
         raise ValueError(f"address is {address!r}; expected ip:port")
     return host, int(port)
 
