--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -121,30 +121,7 @@
 http = 127.0.0.1:7402
 [entry]
 """
-_DOCUMENT = """\
-[environment]
-name = shop
-[pool counter]
-slots = 2
-connections = 12
-[service fleet]
-pool = counter
-leaves =
-    fleet-a 127.0.0.1:9001 minho/minho-1
-[map one]
-shards =
-    fleet-0 fleet
-[snapshot 41]
-map = one
-state = serving
-[rank booking]
-priority = 0
-target_ms = 90
-kept_share = 0.6
-[application counter]
-shards = fleet-*
-ranks = booking
-"""
+_DOCUMENT = pathlib.Path(__file__).parent.parent / "examples" / "aquecer" / "trial.ini"
 
 _JSON_VALUES = st.recursive(
     st.none()
@@ -274,6 +251,6 @@
 
 
 @_fuzz
-@given(_mutated_text(_DOCUMENT))
+@given(_mutated_text(_DOCUMENT.read_text(encoding="utf-8")))
 def test_documents(text: str) -> None:
     assert isinstance(parse_document(text=text, generation=1), Success | Failure)
