--- a/filbertreach/gateway/_neighbours.py
+++ b/filbertreach/gateway/_neighbours.py
@@ -66,6 +66,7 @@
 
 class _FleetSize(NamedTuple):
     hosts: int
+    """Number of hosts, this one included."""
     known_at: float
     """Clock when the number was known, in seconds."""
 
@@ -95,7 +96,8 @@
         self._sighting_by_name: dict[str, _Sighting] = {}
         self._reply_by_seed: dict[str, _SeedReply] = {}
         self._recent_sizes: collections.deque[_FleetSize] = collections.deque()
-        """Numbers of hosts known within the last `_HOST_EXPIRY_SECONDS`, oldest first."""
+        """Numbers of hosts known within the last `_HOST_EXPIRY_SECONDS`, oldest first, without
+        those after which at least as many were known."""
         self._excluded_until_by_name: dict[str, float] = {}
         self._channel_by_address: dict[str, HttpChannel] = {}
         self._hosts_decoder = JsonDecoder(message=KnownHosts)
