Decoders: text that is no Unicode is an invalid message too

Found on reading the whole change: three places had caught UnicodeDecodeError before the common decoder took their place, which did not. Bytes that are no UTF-8 raise an error of msgspec, so nothing was lost for messages from the network; a text with a lone surrogate raises UnicodeEncodeError. That case of the test failed before and passes now.

--- a/filbertreach/schema/_decoders.py
+++ b/filbertreach/schema/_decoders.py
@@ -16,7 +16,7 @@
 def _decode(decode: Callable[[_Data], _Message], data: _Data) -> _Message:
     try:
         return decode(data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, UnicodeError) as error:
         raise InvalidMessageError(str(error)) from error
     except RecursionError as error:
         raise InvalidMessageError("values are nested too deeply") from error
--- a/filbertreach/schema/tests/test_decoders.py
+++ b/filbertreach/schema/tests/test_decoders.py
@@ -22,12 +22,14 @@
         b"{",
         b"\xff",
         b'{"name":"\xff"}',
+        b'{"name":"\xed\xa0\x80"}',
+        '{"name":"\ud800"}',
         b'{"name":1}',
         b"{}",
         b'{"name":"a","other":' + b"[" * _DEPTH + b"]" * _DEPTH + b"}",
     ],
 )
-def test_invalid_json_raises_the_declared_error(data: bytes) -> None:
+def test_invalid_json_raises_the_declared_error(data: bytes | str) -> None:
     # Guards against a message that ends the process because the error is not the expected one.
     with pytest.raises(InvalidMessageError):
         JsonDecoder(message=_Message).decode(data)
