Test of a new owner: the bound counts from the first report, not from before it

In this test only headers of the leaf's answers report the state, so nobody can know it before the leaf was called once more; the test took the time at which the stand-in was told to report.

The other tests of this file already count from the first answer; the bound of 3 s and the two kills are as they were, and a call that a new owner sends after the first report fails as before.

--- a/tests/test_leaving_leaf.py
+++ b/tests/test_leaving_leaf.py
@@ -115,7 +115,7 @@
     with load.running():
         time.sleep(1.0)
         _report_by_response_header(fleet, leaf)
-        reported_at = clock.now()
+        leaving_at = clock.now()
         time.sleep(4.0)
         # Kills each process in turn, so that the owner is among them and becomes owner again.
         for dispatcher in fleet.dispatchers:
@@ -126,6 +126,7 @@
             time.sleep(4.0)
         until = clock.now()
     collect_executions(fleet, record)
+    reported_at = _first_report_at(record, leaf, "response", leaving_at)
     record.leaf_drains = [LeafDrain(leaf, "response", reported_at, until)]
     assert any(run.leaf == leaf for run in record.executions)
     assert [text for text in violations(record) if leaf in text] == []
