Retries for callers that changed hosts, from the slack that is left over

Hosts end there, their callers come to the others, and these denied retries that the rule allows.

Fewer than 16 hosts do not use the whole slack: each has a sixteenth. What is left over is what may be counted twice, so each host now has a share of it for requests beyond those of the window before. The sum over all hosts stays the ratio and the slack.

--- a/filbertreach/gateway/_retry_budget.py
+++ b/filbertreach/gateway/_retry_budget.py
@@ -16,10 +16,9 @@
 _RATIO_SAFETY_FACTOR = 0.97
 """Fraction of the allowed ratio that is used, because leaves count calls slightly later than the
 gateway sends them."""
-_MIN_COUNTED_REQUESTS = 50.0
+_MIN_STEADY_REQUESTS = 50.0
 """Requests of a window that count even if there were fewer in the window before, so that a service
-that is rarely used is retried too. If a host with so few requests stops, the slack covers what is
-counted twice."""
+that is rarely used is retried too."""
 _MIN_KNOWN_FRACTION = 0.1
 """Fraction of the window before the current one that has to be known for a comparison."""
 
@@ -35,6 +34,9 @@
         """Length of the sliding window, in seconds."""
         self.slack = 0.0
         """Extra calls that this host may send in a window in addition to the ratio."""
+        self.reserve = 0.0
+        """This host's share of the slack that is left over, for requests that are counted twice
+        because their callers changed hosts."""
         self._total_slack = 0.0
         self._host_count = 1
 
@@ -57,6 +59,7 @@
         """
         self._host_count = host_count
         self.slack = self._total_slack / max(_MIN_SLACK_HOSTS, host_count)
+        self.reserve = self._total_slack / host_count - self.slack
 
 
 class _Slice(NamedTuple):
@@ -102,8 +105,8 @@
     received itself, so the sum over all hosts stays within the ratio as well.
 
     When callers change hosts, requests of the same callers would allow extra calls on the old host
-    and, in the same window, on the new one. So no more requests count than in the window before:
-    a budget grows with its traffic one window later.
+    and, in the same window, on the new one. So requests beyond those of the window before allow no
+    more extra calls than the reserve: a budget grows with its traffic one window later.
     """
 
     def __init__(self, *, settings: RetryBudgetSettings) -> None:
@@ -154,17 +157,20 @@
     def remaining(self) -> float:
         """Extra calls that the window still has room for."""
         settings = self._settings
-        return settings.ratio * self._counted_requests + settings.slack - self._extra_calls.total
+        from_requests = min(
+            settings.ratio * self._requests.total,
+            settings.ratio * self._steady_requests + settings.reserve,
+        )
+        return from_requests + settings.slack - self._extra_calls.total
 
     @property
-    def _counted_requests(self) -> float:
-        """Requests of the window, but no more than in the window before it."""
+    def _steady_requests(self) -> float:
+        """Requests of a window as far as the window before shows them; infinite if it does not."""
         window = self._settings.window_seconds
         known_seconds = min(self._earlier_end - self._first_request_at, window)
         if known_seconds < _MIN_KNOWN_FRACTION * window:
-            return self._requests.total
-        earlier = self._earlier_requests.total * window / known_seconds
-        return min(self._requests.total, max(earlier, _MIN_COUNTED_REQUESTS))
+            return math.inf
+        return max(self._earlier_requests.total * window / known_seconds, _MIN_STEADY_REQUESTS)
 
     @property
     def _slice_seconds(self) -> float:
--- a/filbertreach/gateway/tests/test_retry_budget.py
+++ b/filbertreach/gateway/tests/test_retry_budget.py
@@ -103,6 +103,20 @@
     assert _most_in_a_window([at for at in extra_at if at >= 40.0]) >= 0.9 * allowed
 
 
+def test_the_slack_that_is_left_over_serves_callers_that_changed_hosts() -> None:
+    # With 4 hosts, a quarter of the slack is given out; each host has a quarter of the rest.
+    settings = RetryBudgetSettings()
+    settings.update(_BOUNDS._replace(retry_slack=32.0))
+    settings.set_host_count(4)
+    budget = RetryBudget(settings=settings)
+    for step in range(3000):
+        budget.count_request(step / 100.0)
+    for _ in range(1000):
+        budget.count_request(30.0)
+    acquired = _acquire_all(budget, 30.0)
+    assert 0.9 * 200 <= acquired <= 200 + 32 / 4
+
+
 def test_a_service_that_was_idle_has_a_budget_for_its_first_requests() -> None:
     settings = RetryBudgetSettings()
     settings.update(_BOUNDS._replace(retry_slack=0.0))
