Dispatch: attempts have a module of their own

dispatch/_service.py held queueing, hedges and retries, and the run of each attempt on its connection: 574 lines. AttemptRunner now runs attempts, records what they show of the leaf, and tells the owner of the service how they ended (AttemptListener). No change of behaviour. 492 lines remain.

--- a/filbertreach/dispatch/_service.py
+++ b/filbertreach/dispatch/_service.py
@@ -7,29 +7,21 @@
 
 import anyio
 import anyio.abc
-import httpcore
 
 from filbertreach.decisions import (
     HedgeBudget,
     HedgeDelay,
     LatencyTracker,
-    LeafOutcome,
     may_hedge,
 )
-from filbertreach.dispatch._errors import (
-    LeafError,
-    LeafReport,
-    LeafTimeoutError,
-    VersionUnavailableError,
-)
-from filbertreach.dispatch._exchange import SearchBody, search
+from filbertreach.dispatch._attempt_runner import AttemptRunner
+from filbertreach.dispatch._errors import LeafError, LeafTimeoutError
+from filbertreach.dispatch._exchange import SearchBody
 from filbertreach.dispatch._leaf_link import LeafLink
 from filbertreach.dispatch._leaf_set import LeafSet, LeavingLeaves
 from filbertreach.dispatch._metrics import (
     CALL_RESULTS,
     LEAF_CALLS,
-    LEAF_OUTCOMES,
-    LEAF_SECONDS,
     QUEUE_SECONDS,
 )
 from filbertreach.dispatch._pending import Attempt, AttemptKind, PendingCall
@@ -37,7 +29,6 @@
 from filbertreach.dispatch._results import (
     make_answer,
     make_failure,
-    outcome_of,
     reason_of,
 )
 from filbertreach.dispatch._slowdown_meter import SlowdownMeter
@@ -48,10 +39,6 @@
 
 _POLL_INTERVAL_SECONDS = 0.01
 """Polling interval while calls wait; no event announces that a probe or an expiry is due."""
-_CANCEL_GRACE_SECONDS = 0.25
-"""Time for a leaf to end a cancelled attempt, after which its connection is closed."""
-_DEADLINE_GRACE_SECONDS = 0.05
-"""Time after the deadline for a leaf to report it, before the connection is closed."""
 _MAX_RETRY_LOOKUPS = 64
 """Unassigned calls for which replica selection is tried in one pass."""
 _UNMEASURED_RESULTS = frozenset({"cancelled", "version_unavailable"})
@@ -109,7 +96,6 @@
         self._dispatch = settings.dispatch
         self._timers = timers
         self._clock = timers.clock
-        self._tracing = tracing
         self._reply = reply
         self.is_owner = is_owner
         policy = settings.environment.policy
@@ -122,10 +108,17 @@
         self._hedge_delay = HedgeDelay(quantile=policy.hedge_quantile)
         self._leaf_latency = LatencyTracker()
         """Latency of answered and timed-out attempts."""
+        self._attempts = AttemptRunner(
+            environment=settings.environment.name,
+            listener=self,
+            find_link=lambda leaf_id: self._leaves.link_by_id.get(leaf_id),
+            tracing=tracing,
+            clock=self._clock,
+        )
         self._leaves = LeafSet(
             replica_policy=settings.dispatch["replica_policy"],
             health_seconds=settings.dispatch["health_interval_seconds"],
-            serve=self._serve,
+            serve=self._attempts.run,
             on_idle=self._dispatch_calls,
             is_owner=is_owner,
             clock=self._clock,
@@ -412,99 +405,33 @@
         if refused is not None and not refused.payload.attempts:
             self._fail(refused.payload, "overloaded")
 
-    # Attempts; each is run by the task of its connection.
+    # Attempts.
 
-    async def _serve(self, http: httpcore.AsyncHTTPConnection, attempt: Attempt) -> bool:
-        """Runs an attempt; returns whether the connection remains usable."""
-        pending = attempt.pending
-        remaining = pending.deadline_at - self._clock.now()
-        if pending.done or remaining <= 0:
-            self._end_attempt(attempt, LeafOutcome.CANCELLED)
-            self._fail(pending, "deadline")
-            return True
-        body: SearchBody | None = None
-        error: LeafError | None = None
-        report: LeafReport | None = None
-        span = self._tracing.start(
-            "leaf", trace_parent=pending.span.trace_parent or "-00", leaf=attempt.tracker.leaf.id
-        )
-        attempt.scope.deadline = anyio.current_time() + remaining + _DEADLINE_GRACE_SECONDS
-        with span, attempt.scope:
-            try:
-                body, report = await search(
-                    connection=http,
-                    leaf=attempt.tracker.leaf,
-                    call=pending.call,
-                    call_id=attempt.call_id,
-                    remaining_seconds=remaining,
-                    trace_parent=span.trace_parent,
-                )
-            except LeafError as caught:
-                error, report = caught, caught.report
-                span.set("error", str(caught))
-        if report is not None:
-            self._apply_report(attempt, report)
-        if body is not None:
-            self._handle_answer(attempt, body)
-            return True
-        if error is not None:
-            self._handle_error(attempt, error)
-            return report is not None
-        self._handle_no_response(attempt)
-        return False
-
-    def _apply_report(self, attempt: Attempt, report: LeafReport) -> None:
-        now = self._clock.now()
-        link = self._leaves.link_by_id.get(attempt.tracker.leaf.id)
-        if link is not None and report.state == "draining":
-            link.record_leaving("response", now, leaving=True)
-        if report.in_flight is not None and report.queued is not None:
-            attempt.tracker.record_load_report(report.in_flight, report.queued, now)
+    def on_latency(self, attempt: Attempt, seconds: float) -> None:
+        """Implements `AttemptListener`."""
+        self._leaf_latency.record(seconds, self._clock.now())
+        self._queue.record_service_time(attempt.pending.call["rank"], seconds)
 
-    def _end_attempt(self, attempt: Attempt, outcome: LeafOutcome) -> float:
-        now = self._clock.now()
-        seconds = now - attempt.started_at
-        attempt.tracker.record_finish(outcome, seconds, now)
-        attempt.pending.attempt_by_id.pop(attempt.call_id, None)
-        LEAF_OUTCOMES.labels(self.environment.name, outcome.value).inc()
-        if outcome in (LeafOutcome.OK, LeafOutcome.TIMEOUT):
-            # Without timeouts, the quantiles would be biased towards fast calls.
-            self._leaf_latency.record(seconds, now)
-            self._queue.record_service_time(attempt.pending.call["rank"], seconds)
-        return seconds
-
-    def _handle_answer(self, attempt: Attempt, body: SearchBody) -> None:
-        seconds = self._end_attempt(attempt, LeafOutcome.OK)
-        LEAF_SECONDS.labels(self.environment.name).observe(seconds)
+    def on_answer(self, attempt: Attempt, body: SearchBody, *, seconds: float) -> None:
+        """Implements `AttemptListener`."""
         pending = attempt.pending
-        if pending.done:
-            return
         now = self._clock.now()
         assert pending.first_sent_at is not None
         self._hedge_delay.record(now - pending.first_sent_at, now)
         self._finish(pending, make_answer(attempt, body, seconds=seconds))
 
-    def _handle_error(self, attempt: Attempt, error: LeafError) -> None:
+    def on_error(self, attempt: Attempt, error: LeafError) -> None:
+        """Implements `AttemptListener`."""
         pending = attempt.pending
-        pending.may_have_started |= error.started
-        self._end_attempt(attempt, outcome_of(error))
-        now = self._clock.now()
-        link = self._leaves.link_by_id.get(attempt.tracker.leaf.id)
-        if isinstance(error, VersionUnavailableError) and link is not None:
-            link.record_refused_version(pending.call["version"], now)
         if isinstance(error, LeafTimeoutError):
             self._fail(pending, "deadline")
             return
         pending.last_failure_reason = reason_of(error)
         self._retry_or_fail(pending, refused=not error.started)
 
-    def _handle_no_response(self, attempt: Attempt) -> None:
-        attempt.pending.may_have_started = True
-        if attempt.cancelled:
-            self._end_attempt(attempt, LeafOutcome.CANCELLED)
-            return
-        self._end_attempt(attempt, LeafOutcome.TIMEOUT)
-        self._fail(attempt.pending, "deadline")
+    def on_expiry(self, pending: PendingCall) -> None:
+        """Implements `AttemptListener`."""
+        self._fail(pending, "deadline")
 
     def _retry_or_fail(self, pending: PendingCall, *, refused: bool) -> None:
         """Retries a call, or fails it if it may not be retried; no effect while an attempt runs.
@@ -551,7 +478,7 @@
         self._queue.remove(pending.key)
         self._queue.remove(pending.hedge_key)
         for attempt in list(pending.attempt_by_id.values()):
-            self._cancel_attempt(attempt)
+            self._attempts.cancel(attempt)
         outcome = "answer" if result["kind"] == "answer" else result["reason"]
         CALL_RESULTS.labels(self.environment.name, pending.call["rank"], outcome).inc()
         if outcome not in _UNMEASURED_RESULTS:
@@ -563,12 +490,3 @@
         pending.span.set("attempts", pending.attempts)
         pending.span.end()
         self._reply(pending, result)
-
-    def _cancel_attempt(self, attempt: Attempt) -> None:
-        attempt.cancelled = True
-        attempt.scope.deadline = min(
-            attempt.scope.deadline, anyio.current_time() + _CANCEL_GRACE_SECONDS
-        )
-        link = self._leaves.link_by_id.get(attempt.tracker.leaf.id)
-        if link is not None:
-            link.cancel(attempt)
