--- a/filbertreach/gateway/_neighbours.py
+++ b/filbertreach/gateway/_neighbours.py
@@ -260,11 +260,16 @@
             answer = await self._get(
                 reader["address"], CHANGES_PATH, query, wait_seconds=wait_seconds
             )
-            return Success(self._changes_decoder.decode(_decompress(answer.body)))
+            changes = self._changes_decoder.decode(_decompress(answer.body))
         except (ExchangeError, InvalidMessageError, zlib.error) as error:
             return Failure(NeighbourError(str(error)))
         except NeighbourError as error:
             return Failure(error)
+        age_seconds = changes["age_seconds"]
+        if age_seconds < 0.0:
+            # This host would take its data for current until then, whatever its readers say later.
+            return Failure(NeighbourError(f"{reader['name']} states an age of {age_seconds} s"))
+        return Success(changes)
 
     async def _get(
         self, address: str, path: str, query: dict[str, str], *, wait_seconds: float
--- a/filbertreach/gateway/tests/test_neighbours.py
+++ b/filbertreach/gateway/tests/test_neighbours.py
@@ -7,12 +7,13 @@
 import anyio
 import msgspec
 import pytest
+from returns.result import Failure
 
 from filbertreach.gateway._change_log import ChangeLog
 from filbertreach.gateway._neighbour_application import neighbour_application
 from filbertreach.gateway._neighbours import Neighbours, compress
 from filbertreach.observability import HttpServer, Receive, Scope, Send, respond
-from filbertreach.schema import KnownHost, KnownHosts
+from filbertreach.schema import KnownHost, KnownHosts, StoreNews
 from filbertreach.timing import FakeClock, SystemClock
 from filbertreach_standins.ports import free_address
 
@@ -256,3 +257,27 @@
             group.cancel_scope.cancel()
 
     anyio.run(run)
+
+
+def test_changes_that_are_newer_than_now_are_an_error() -> None:
+    # Guards against a host that takes its data for current for ever: with such an answer it would
+    # never notice that its reader is out of date.
+    async def run() -> None:
+        address = free_address()
+        changes = StoreNews(complete=True, revision=4, age_seconds=-1000.0, changes=[])
+
+        async def application(scope: Scope, receive: Receive, send: Send) -> None:
+            if scope["type"] == "http":
+                await respond(send, 200, compress(msgspec.json.encode(changes)), "application/zlib")
+
+        server = HttpServer(address=address, application=application, drain_seconds=1.0)
+        reader = KnownHost(name="front-2", address=address, data_centre="minho-1")
+        neighbours = _neighbours("front-1", FakeClock())
+        async with neighbours, anyio.create_task_group() as group:
+            await group.start(server.run)
+            result = await neighbours.fetch_changes(reader, after=4, wait_seconds=0.0)
+            server.stop()
+            group.cancel_scope.cancel()
+        assert isinstance(result, Failure)
+
+    anyio.run(run)
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -6,8 +6,11 @@
 import json
 import pathlib
 import tempfile
+import zlib
 from typing import Any
+from unittest import mock
 
+import anyio
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -18,16 +21,24 @@
 from filbertreach.entry._problems import ProblemError
 from filbertreach.entry._request import parse_body, parse_headers
 from filbertreach.gateway._buffer_budget import BufferBudget
+from filbertreach.gateway._change_log import decode_change
+from filbertreach.gateway._neighbours import Neighbours
 from filbertreach.gateway._response_parser import InvalidResponseError, ResponseParser
 from filbertreach.platform import (
+    ALL_KEYS,
+    DeploymentStore,
+    HttpResponse,
     StoredItem,
     decode_leaf_entry,
     decode_routes,
     load_boot,
+    parse_address,
     read_leaf_answer,
     read_request_head,
 )
+from filbertreach.schema import KnownHost
 from filbertreach.settings import load_text
+from filbertreach.timing import FakeClock
 
 _EXAMPLES = 400
 """Inputs of each decoder."""
@@ -66,6 +77,26 @@
         "idle_timeout_ms": 15000,
     },
 }
+_STORE_LISTING: dict[str, Any] = {
+    "items": [
+        {"key": "servers/i-1", "revision": 3, "value": "e30="},
+        {"key": "servers/i-2", "revision": 4, "compacted": True},
+    ],
+    "at_rev": 4,
+    "has_more": False,
+}
+_STORE_CHANGES: dict[str, Any] = {"events": _STORE_LISTING["items"], "at_rev": 4}
+_NEIGHBOUR_CHANGES: dict[str, Any] = {
+    "complete": True,
+    "revision": 4,
+    "age_seconds": 0.2,
+    "changes": [
+        {"key": "servers/i-1", "revision": 3, "removed": False, "value": "{}"},
+        {"key": "servers/i-2", "revision": 4, "removed": True},
+    ],
+}
+_READER = KnownHost(name="front-2", address="10.0.0.2:8106", data_centre="minho-1")
+_KNOWN_HOSTS: dict[str, Any] = {"total": 2, "digest": "d", "hosts": [_READER]}
 _DOCUMENT_VALUE: dict[str, Any] = {
     "environment": "shop",
     "generation": 3,
@@ -164,6 +195,32 @@
     return draw(_mutated_bytes(encoded)) if draw(st.booleans()) else encoded
 
 
+@st.composite
+def _mutated_compressed(draw: st.DrawFn, valid: dict[str, Any]) -> bytes:
+    compressed = zlib.compress(draw(_mutated_json(valid)))
+    return draw(_mutated_bytes(compressed)) if draw(st.booleans()) else compressed
+
+
+class _Channel:
+    """Answers each request with the same body."""
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+
+    async def exchange(self, **_arguments: Any) -> HttpResponse:
+        return HttpResponse(status=200, headers={}, body=self._body)
+
+
+def _neighbours() -> Neighbours:
+    return Neighbours(
+        host="front-1",
+        address="10.0.0.1:8106",
+        data_centre="minho-1",
+        seeds=(_READER["address"],),
+        clock=FakeClock(),
+    )
+
+
 def _mutated_text(valid: str) -> st.SearchStrategy[str]:
     return _mutated_bytes(valid.encode()).map(lambda data: data.decode(errors="replace"))
 
@@ -254,3 +311,48 @@
 @given(_mutated_text(_DOCUMENT.read_text(encoding="utf-8")))
 def test_documents(text: str) -> None:
     assert isinstance(parse_document(text=text, generation=1), Success | Failure)
+
+
+@_fuzz
+@given(_mutated_compressed(_NEIGHBOUR_CHANGES))
+def test_changes_from_neighbours(data: bytes) -> None:
+    with mock.patch("filbertreach.gateway._neighbours.HttpChannel", lambda **_: _Channel(data)):
+        result = anyio.run(_fetch_changes, _neighbours())
+    for reply in result.map(lambda reply: [reply]).value_or([]):
+        assert reply["age_seconds"] >= 0.0
+        for item in reply["changes"]:
+            decode_change(item)
+
+
+async def _fetch_changes(neighbours: Neighbours) -> Any:
+    return await neighbours.fetch_changes(_READER, after=2, wait_seconds=0.0)
+
+
+@_fuzz
+@given(_mutated_compressed(_KNOWN_HOSTS))
+def test_hosts_from_neighbours(data: bytes) -> None:
+    neighbours = _neighbours()
+    with mock.patch("filbertreach.gateway._neighbours.HttpChannel", lambda **_: _Channel(data)):
+        anyio.run(neighbours._announce_to, _READER["address"])
+    assert (neighbours.fleet_size() or 1) >= 1
+    reader = neighbours.reader()
+    assert reader is None or parse_address(reader["address"])
+
+
+@_fuzz
+@given(_mutated_json(_STORE_LISTING), _mutated_json(_STORE_CHANGES))
+def test_answers_of_the_store(listing: bytes, changes: bytes) -> None:
+    assert isinstance(anyio.run(_list_all_keys, listing), Success | Failure)
+    assert isinstance(anyio.run(_watch_all_keys, changes), Success | Failure)
+
+
+async def _list_all_keys(body: bytes) -> Any:
+    store = DeploymentStore(address="10.0.0.9:8102", timeout_seconds=1.0)
+    store._channel = _Channel(body)  # type: ignore[assignment]
+    return await store.list_prefix(ALL_KEYS)
+
+
+async def _watch_all_keys(body: bytes) -> Any:
+    store = DeploymentStore(address="10.0.0.9:8102", timeout_seconds=1.0)
+    store._channel = _Channel(body)  # type: ignore[assignment]
+    return await store.watch(ALL_KEYS, after=2, wait_seconds=0.0)
