--- a/filbertreach/gateway/tests/test_retry_budget.py
+++ b/filbertreach/gateway/tests/test_retry_budget.py
@@ -103,6 +103,31 @@
     assert _most_in_a_window([at for at in extra_at if at >= 40.0]) >= 0.9 * allowed
 
 
+@pytest.mark.parametrize("down_seconds", [1.0, 3.0, 4.0])
+@pytest.mark.parametrize("fails_from", [15.0, 20.0, 24.0, 27.5])
+def test_a_rolling_restart_stays_within_the_budget(fails_from: float, down_seconds: float) -> None:
+    # Guards against BUDGET while hosts restart in turn: the callers of all hosts that are down
+    # are on hosts that have just started.
+    host_count, step_seconds = 3, 4.0
+    hosts = [_Host() for _ in range(host_count)]
+    extra_at = []
+    for step in range(5000):
+        now = step / 100.0
+        up = []
+        for number in range(host_count):
+            down_at = 20.0 + number * step_seconds
+            if down_at <= now < down_at + down_seconds:
+                extra_at += hosts[number].extra_at
+                hosts[number] = _Host()
+            else:
+                up.append(hosts[number])
+        for request in range(host_count):
+            up[(step * host_count + request) % len(up)].receive(now, fails=now >= fails_from)
+    extra_at += [at for host in hosts for at in host.extra_at]
+    allowed = 0.2 * 100.0 * host_count * _BOUNDS.retry_window_seconds
+    assert _most_in_a_window(extra_at) <= allowed
+
+
 def test_the_slack_that_is_left_over_serves_callers_that_changed_hosts() -> None:
     # With 4 hosts, a quarter of the slack is given out; each host has a quarter of the rest.
     settings = RetryBudgetSettings()
