--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,6 @@
 """Another writer leaves an unreadable entry in the store; every gateway ends, again and again."""
 
 import asyncio
-import contextlib
 import json
 import pathlib
 import sys
@@ -60,15 +59,21 @@
     return True
 
 
-async def _keep_running(case: Case, gateway: Gateway, ends: dict[str, list[int | None]]) -> None:
+async def _keep_running(
+    case: Case, gateway: Gateway, ends: dict[str, list[int | None]], stopping: asyncio.Event
+) -> None:
     """Starts a process again whenever it has ended by itself, as the platform does."""
-    while True:
+    while not stopping.is_set():
         assert gateway.process is not None
         code = await gateway.process.wait()
+        if stopping.is_set():
+            return
         ends[gateway.name].append(code)
         case.record.write(f"{gateway.name} ended by itself with exit code {code}")
         await asyncio.sleep(RESTART_SECONDS)
-        await gateway.start()
+        if not stopping.is_set():
+            await gateway.start()
+    await gateway.end()
 
 
 async def _send(case: Case, gateway: Gateway, name: str, until: float) -> list[tuple[float, int]]:
@@ -96,7 +101,8 @@
     for number in (1, 2):
         await case.add_gateway(f"front-{number}")
     ends: dict[str, list[int | None]] = {gateway.name: [] for gateway in case.gateways}
-    keepers = [asyncio.create_task(_keep_running(case, g, ends)) for g in case.gateways]
+    stopping = asyncio.Event()
+    keepers = [asyncio.create_task(_keep_running(case, g, ends, stopping)) for g in case.gateways]
     until = time.monotonic() + BEFORE_SECONDS + AFTER_SECONDS
     clients = [
         asyncio.create_task(_send(case, gateway, f"{gateway.name}-c{number}", until))
@@ -109,11 +115,10 @@
         revision = case.store.put("servers/i-foreign", _foreign_entry())
         case.record.write(f"another writer writes servers/i-foreign, acknowledged as {revision}")
     results = [result for results in await asyncio.gather(*clients) for result in results]
-    for keeper in keepers:
-        keeper.cancel()
-    for keeper in keepers:
-        with contextlib.suppress(asyncio.CancelledError):
-            await keeper
+    stopping.set()
+    for gateway in case.gateways:
+        await gateway.end()
+    await asyncio.gather(*keepers)
     before = [status for sent_at, status in results if sent_at < disrupted_at]
     # The last instant before the entry and the first one after it are left out.
     after = [status for sent_at, status in results if sent_at > disrupted_at + 1.0]
