--- a/filbertreach/agent/_values.py
+++ b/filbertreach/agent/_values.py
@@ -8,7 +8,7 @@
 
 from filbertreach.agent._errors import ValueFormatError
 from filbertreach.records import ENVIRONMENTS_PREFIX, HostRecord
-from filbertreach.schema import InvalidMessageError, JsonDecoder
+from filbertreach.schema import Int64, InvalidMessageError, JsonDecoder, parse_address
 
 
 class DocumentValue(TypedDict):
@@ -16,7 +16,7 @@
 
     environment: str
     """Environment name."""
-    generation: int
+    generation: Int64
     """Generation; that of the accepted document never decreases."""
     digest: str
     """Identifies one proposal. It covers the text and the time of the proposal, so that a
@@ -76,6 +76,9 @@
         The record, or a ValueFormatError that describes what is invalid.
     """
     try:
-        return Success(_HOST_DECODER.decode(value))
-    except InvalidMessageError as error:
+        record = _HOST_DECODER.decode(value)
+        for address in (record["agent_address"], *(m["address"] for m in record["members"])):
+            parse_address(address)
+    except ValueError as error:
         return Failure(ValueFormatError(f"{key}: {error}"))
+    return Success(record)
--- a/filbertreach/dispatch/_exchange.py
+++ b/filbertreach/dispatch/_exchange.py
@@ -17,7 +17,7 @@
     VersionUnavailableError,
 )
 from filbertreach.document import Leaf
-from filbertreach.schema import Call, InvalidMessageError, JsonDecoder
+from filbertreach.schema import Call, Int64, InvalidMessageError, JsonDecoder, parse_count
 
 _MAX_BODY_BYTES = 8 * 1024 * 1024
 _STATUS_OK = 200
@@ -36,11 +36,11 @@
     """Id of the call, as sent in the request."""
     shard: str
     """Shard that the rows come from."""
-    version: int
+    version: Int64
     """Index version that the leaf read."""
     rows: list[dict[str, Any]]
     """Rows."""
-    row_count: int
+    row_count: Int64
     """Number of rows; detects a truncated answer."""
 
 
@@ -57,7 +57,7 @@
     """Body."""
 
 
-_BODY_DECODER = JsonDecoder(message=SearchBody)
+_BODY_DECODER = JsonDecoder(message=SearchBody, has_open_values=True)
 _BODY_ENCODER = msgspec.json.Encoder()
 
 
@@ -201,9 +201,7 @@
 def _report(header_by_name: dict[bytes, bytes]) -> LeafReport:
     state = header_by_name.get(b"x-leaf-state", b"").decode("latin-1")
     in_flight, _, queued = header_by_name.get(b"x-load", b"").partition(b",")
-    if in_flight.strip().isdigit() and queued.strip().isdigit():
-        return LeafReport(state, int(in_flight), int(queued))
-    return LeafReport(state, None, None)
+    return LeafReport(state, parse_count(in_flight), parse_count(queued))
 
 
 def _status_error(leaf: Leaf, response: LeafResponse) -> LeafError:
--- a/filbertreach/document/_parse.py
+++ b/filbertreach/document/_parse.py
@@ -1,7 +1,6 @@
 """Parses an environment document and checks that its parts are consistent."""
 
 import datetime
-import re
 from collections.abc import Callable, Iterator
 from typing import Any, TypeVar
 
@@ -19,12 +18,12 @@
     Service,
     Snapshot,
 )
+from filbertreach.schema import parse_address
 from filbertreach.settings import IniSection, SettingsError, SettingsProblem, load_text, read_ini
 
 MAX_DOCUMENT_BYTES = 1_000_000
 """Size limit of a value in the platform's key-value service."""
 
-_ADDRESS = re.compile(r"[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}")
 _TIME_FORMAT = "%Y-%m-%dT%H:%M:%SZ"
 _Part = TypeVar("_Part")
 
@@ -166,7 +165,7 @@
     def _build_leaf(self, section: str, line: str) -> Leaf | None:
         fields = line.split()
         location = fields[2].split("/") if len(fields) == 3 else []
-        if len(location) != 2 or not _ADDRESS.fullmatch(fields[1]):
+        if len(location) != 2 or not _is_address(fields[1]):
             self._add_problem(section, "leaves", line, "allowed: id ip:port region/data-centre")
             return None
         if fields[0] in self._seen_leaf_ids:
@@ -240,3 +239,11 @@
             starts=times["starts"],
             ends=times["ends"],
         )
+
+
+def _is_address(text: str) -> bool:
+    try:
+        parse_address(text)
+    except ValueError:
+        return False
+    return True
--- a/filbertreach/document/tests/test_parse.py
+++ b/filbertreach/document/tests/test_parse.py
@@ -47,6 +47,8 @@
         ("pool = counter", "pool = bar", "line 7: [service fleet] pool = 'bar': unknown pool"),
         ("fleet-b 127", "fleet-a 127", "duplicate leaf id fleet-a"),
         ("minho/minho-1", "minho", "allowed: id ip:port region/data-centre"),
+        ("127.0.0.1:", "127.0.0.1:9", "allowed: id ip:port region/data-centre"),
+        ("127.0.0.1:", "127.0.0.256:", "allowed: id ip:port region/data-centre"),
         ("fleet-0 fleet\n", "fleet-0 boats\n", "unknown service; allowed: fleet"),
         ("map = one", "map = two", "line 15: [snapshot 41] map = 'two': unknown map"),
         ("ranks = booking", "ranks = bulk", "unknown rank"),
--- a/filbertreach/entry/_request.py
+++ b/filbertreach/entry/_request.py
@@ -9,7 +9,7 @@
 from filbertreach.document import Application, Environment, Rank
 from filbertreach.entry._problems import ProblemError
 from filbertreach.observability import is_trace_parent
-from filbertreach.schema import InvalidMessageError, JsonDecoder
+from filbertreach.schema import InvalidMessageError, JsonDecoder, PositiveInt64
 
 _NAME_PATTERN = r"^[A-Za-z0-9._:@-]{1,128}$"
 _SINGLE_HEADERS = (
@@ -32,7 +32,7 @@
     """Column that `top` orders by."""
     descending: NotRequired[bool]
     """Whether the largest value comes first; true by default."""
-    limit: NotRequired[Annotated[int, msgspec.Meta(ge=1)]]
+    limit: NotRequired[PositiveInt64]
     """Most rows in the answer; by default the limit of the process."""
 
 
@@ -97,7 +97,7 @@
     """Token of an `authorization: Bearer` header, or an empty string."""
 
 
-_DECODER = JsonDecoder(message=QueryBody)
+_DECODER = JsonDecoder(message=QueryBody, has_open_values=True)
 
 
 def parse_headers(raw: list[tuple[bytes, bytes]]) -> Headers:
--- a/filbertreach/gateway/_command.py
+++ b/filbertreach/gateway/_command.py
@@ -24,7 +24,8 @@
     health_application,
     raise_open_files_limit,
 )
-from filbertreach.platform import SETTINGS_VARIABLE, HostSettings, load_boot, parse_address
+from filbertreach.platform import SETTINGS_VARIABLE, HostSettings, load_boot
+from filbertreach.schema import parse_address
 from filbertreach.timing import TimerService
 
 EXIT_SETTINGS = 2
--- a/filbertreach/gateway/_leaf_connection.py
+++ b/filbertreach/gateway/_leaf_connection.py
@@ -13,7 +13,9 @@
     RawResponse,
     ResponseParser,
 )
-from filbertreach.platform import parse_address, read_leaf_answer
+from filbertreach.observability import get_logger
+from filbertreach.platform import read_leaf_answer
+from filbertreach.schema import parse_address
 from filbertreach.timing import Clock
 
 _CONNECT_TIMEOUT_SECONDS = 0.3
@@ -25,6 +27,8 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 _MAX_IDLE_SECONDS = 30.0
 
+_LOGGER = get_logger(__name__)
+
 
 class ConnectionOwner(Protocol):
     """Receives the state changes of a connection."""
@@ -80,6 +84,11 @@
         try:
             with self._scope:
                 await self._connect_and_wait()
+        except Exception as error:
+            # The tasks of the other connections and of the process go on.
+            _LOGGER.error(
+                "connection to leaf failed", leaf=self.leaf.id, error=repr(error), exc_info=True
+            )
         finally:
             exchange, self.exchange = self.exchange, None
             self._parser.close()
--- a/filbertreach/gateway/_neighbour_application.py
+++ b/filbertreach/gateway/_neighbour_application.py
@@ -7,9 +7,11 @@
 from filbertreach.gateway._change_log import ChangeLog
 from filbertreach.gateway._neighbours import CHANGES_PATH, HOSTS_PATH, Neighbours, compress
 from filbertreach.observability import Application, Receive, Scope, Send, respond
-from filbertreach.schema import KnownHost
+from filbertreach.schema import KnownHost, parse_count
 
 _MAX_WAIT_SECONDS = 10.0
+_MAX_SHOWN_CHARACTERS = 80
+"""Characters of an unusable value that an answer shows."""
 
 
 def neighbour_application(neighbours: Neighbours, change_log: ChangeLog) -> Application:
@@ -26,8 +28,8 @@
                 name=query["name"], address=query["address"], data_centre=query["data_centre"]
             )
             return neighbours.on_announcement(host, known_digest=query["digest"])
-        wait_seconds = min(_MAX_WAIT_SECONDS, int(query["wait_ms"]) / 1000.0)
-        return await change_log.changes_since(int(query["after"]), wait_seconds=wait_seconds)
+        wait_seconds = min(_MAX_WAIT_SECONDS, _count(query["wait_ms"]) / 1000.0)
+        return await change_log.changes_since(_count(query["after"]), wait_seconds=wait_seconds)
 
     async def application(scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] != "http":
@@ -46,3 +48,10 @@
         await respond(send, 200, body, "application/zlib")
 
     return application
+
+
+def _count(text: str) -> int:
+    count = parse_count(text.encode())
+    if count is None:
+        raise ValueError(f"{text[:_MAX_SHOWN_CHARACTERS]!r} is no count")
+    return count
--- a/filbertreach/gateway/_neighbours.py
+++ b/filbertreach/gateway/_neighbours.py
@@ -17,8 +17,16 @@
 from returns.result import Failure, Result, Success
 
 from filbertreach.observability import get_logger
-from filbertreach.platform import ExchangeError, HttpChannel, HttpResponse, parse_address
-from filbertreach.schema import InvalidMessageError, JsonDecoder, KnownHost, KnownHosts, StoreNews
+from filbertreach.platform import ExchangeError, HttpChannel, HttpResponse
+from filbertreach.schema import (
+    InvalidMessageError,
+    JsonDecoder,
+    KnownHost,
+    KnownHosts,
+    StoreNews,
+    base_url,
+    parse_address,
+)
 from filbertreach.timing import Clock
 
 HOSTS_PATH = "/v1/hosts"
@@ -37,10 +45,15 @@
 expensive."""
 _EXCLUSION_SECONDS = 6.0
 """Time for which a host is not chosen as reader after it did not answer or had only stale data."""
+_MAX_HOSTS = 100_000
+"""Hosts that a fleet may have at most; limits are divided by their number."""
 _MAX_MESSAGE_BYTES = 16_000_000
 _TIMEOUT_SECONDS = 0.7
 """Timeout of an exchange, in addition to the wait that it requests."""
 
+_HOSTS_DECODER = JsonDecoder(message=KnownHosts)
+_CHANGES_DECODER = JsonDecoder(message=StoreNews)
+
 _LOGGER = get_logger(__name__)
 
 
@@ -100,8 +113,6 @@
         those after which at least as many were known."""
         self._excluded_until_by_name: dict[str, float] = {}
         self._channel_by_address: dict[str, HttpChannel] = {}
-        self._hosts_decoder = JsonDecoder(message=KnownHosts)
-        self._changes_decoder = JsonDecoder(message=StoreNews)
 
     async def __aenter__(self) -> Self:
         """Returns this object; connections are opened on demand."""
@@ -226,9 +237,8 @@
         }
         try:
             answer = await self._get(seed, HOSTS_PATH, query, wait_seconds=0.0)
-            hosts = self._hosts_decoder.decode(_decompress(answer.body))
-            for host in hosts.get("hosts", []):
-                parse_address(host["address"])
+            hosts = _HOSTS_DECODER.decode(_decompress(answer.body))
+            _check_hosts(hosts)
         except (ExchangeError, NeighbourError, ValueError, zlib.error) as error:
             _LOGGER.info("seed did not answer", seed=seed, error=str(error))
             return
@@ -260,7 +270,7 @@
             answer = await self._get(
                 reader["address"], CHANGES_PATH, query, wait_seconds=wait_seconds
             )
-            changes = self._changes_decoder.decode(_decompress(answer.body))
+            changes = _CHANGES_DECODER.decode(_decompress(answer.body))
         except (ExchangeError, InvalidMessageError, zlib.error) as error:
             return Failure(NeighbourError(str(error)))
         except NeighbourError as error:
@@ -276,7 +286,7 @@
     ) -> HttpResponse:
         channel = self._channel_by_address.get(address)
         if channel is None:
-            channel = HttpChannel(base_url=f"http://{address}", timeout_seconds=_TIMEOUT_SECONDS)
+            channel = HttpChannel(base_url=base_url(address), timeout_seconds=_TIMEOUT_SECONDS)
             self._channel_by_address[address] = channel
         target = f"{path}?{urllib.parse.urlencode(query)}"
         answer = await channel.exchange(method="GET", target=target, extra_seconds=wait_seconds)
@@ -304,5 +314,17 @@
     return zlib.decompressobj().decompress(body, _MAX_MESSAGE_BYTES)
 
 
+def _check_hosts(hosts: KnownHosts) -> None:
+    """Checks what a seed states.
+
+    Raises:
+        ValueError: No fleet has that number of hosts, or an address can't be connected to.
+    """
+    if not 1 <= hosts["total"] <= _MAX_HOSTS:
+        raise ValueError(f"{hosts['total']} hosts; expected 1 to {_MAX_HOSTS}")
+    for host in hosts.get("hosts", []):
+        parse_address(host["address"])
+
+
 def _digest(hosts: list[KnownHost]) -> str:
     return hashlib.blake2b(msgspec.json.encode(hosts), digest_size=6).hexdigest()
--- a/filbertreach/gateway/tests/test_neighbours.py
+++ b/filbertreach/gateway/tests/test_neighbours.py
@@ -1,6 +1,7 @@
 """Choice of the reader of a data centre, membership of hosts, and their HTTP interface."""
 
 import contextlib
+import json
 import zlib
 from collections.abc import AsyncIterator
 
@@ -13,7 +14,7 @@
 from filbertreach.gateway._neighbour_application import neighbour_application
 from filbertreach.gateway._neighbours import Neighbours, compress
 from filbertreach.observability import HttpServer, Receive, Scope, Send, respond
-from filbertreach.schema import KnownHost, KnownHosts, StoreNews
+from filbertreach.schema import KnownHost, StoreNews
 from filbertreach.timing import FakeClock, SystemClock
 from filbertreach_standins.ports import free_address
 
@@ -213,6 +214,9 @@
         "/v1/hosts?name=a&address=127.0.0.1:70000&data_centre=minho-1",
         "/v1/hosts?name=a&address=%C3%A9:80&data_centre=minho-1",
         "/v1/news?after=x&wait_ms=1",
+        "/v1/news?after=1&wait_ms=" + "9" * 400,
+        "/v1/news?after=" + "9" * 5_000 + "&wait_ms=1",
+        "/v1/news?after=1&wait_ms=-1",
         "/v1/news",
         "/v1/other",
     ],
@@ -230,17 +234,31 @@
     anyio.run(run)
 
 
-def test_hosts_with_unusable_addresses_are_not_taken_from_a_seed() -> None:
+@pytest.mark.parametrize(
+    ("total", "listed_address"),
+    [
+        (2, "x:y"),
+        (2, "127.0.0.1:70000"),
+        (2, "fe80::1%eth0:80"),
+        (0, "127.0.0.1:80"),
+        (10**6, "127.0.0.1:80"),
+        (10**400, "127.0.0.1:80"),
+    ],
+    ids=lambda value: str(value)[:18],
+)
+def test_unusable_hosts_are_not_taken_from_a_seed(total: int, listed_address: str) -> None:
     # Guards against one announcement that ends the gateways of a data centre: they would follow a
-    # reader at an address to which no connection can be made.
+    # reader at an address to which no connection can be made, or divide limits by a number of hosts
+    # that no fleet has.
     async def run() -> None:
         address = free_address()
-        listed = KnownHosts(total=2, digest="d", hosts=[{**_host("front-2"), "address": "x:y"}])
+        host = {**_host("front-2"), "address": listed_address}
+        body = json.dumps({"total": total, "digest": "d", "hosts": [host]}).encode()
         asked = anyio.Event()
 
         async def application(scope: Scope, receive: Receive, send: Send) -> None:
             if scope["type"] == "http":
-                await respond(send, 200, compress(msgspec.json.encode(listed)), "application/zlib")
+                await respond(send, 200, compress(body), "application/zlib")
                 asked.set()
 
         server = HttpServer(address=address, application=application, drain_seconds=1.0)
--- a/filbertreach/platform/__init__.py
+++ b/filbertreach/platform/__init__.py
@@ -6,7 +6,6 @@
     Bounds,
     HostSettings,
     load_boot,
-    parse_address,
 )
 from filbertreach.platform._channel import ExchangeError, HttpChannel, HttpResponse
 from filbertreach.platform._deployment_store import (
@@ -113,7 +112,6 @@
     "forward_answer",
     "load_boot",
     "merge_answers",
-    "parse_address",
     "put_checked",
     "read_leaf_answer",
     "read_request_head",
--- a/filbertreach/platform/_boot.py
+++ b/filbertreach/platform/_boot.py
@@ -1,6 +1,5 @@
 """Settings that the platform passes to a process at start-up."""
 
-import ipaddress
 import os
 import tomllib
 from typing import Annotated, NamedTuple
@@ -8,6 +7,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from filbertreach.schema import parse_address
+
 SETTINGS_VARIABLE = "FILBERTREACH_BOOT"
 """Environment variable with the path of the settings file."""
 
@@ -121,28 +122,6 @@
     return Success(_settings(boot))
 
 
-def parse_address(address: str) -> tuple[str, int]:
-    """Splits ip:port.
-
-    Args:
-        address: For example 10.1.0.9:8104.
-
-    Returns:
-        IP address and port.
-
-    Raises:
-        ValueError: The text is not ip:port.
-    """
-    host, _, port = address.rpartition(":")
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        raise ValueError(f"address is {address!r}; expected ip:port") from None
-    if not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"address is {address!r}; expected ip:port")
-    return host, int(port)
-
-
 def _settings(boot: _Boot) -> HostSettings:
     return HostSettings(
         host=boot.node_name,
--- a/filbertreach/platform/_deployment_store.py
+++ b/filbertreach/platform/_deployment_store.py
@@ -15,7 +15,7 @@
     PlatformUnavailableError,
     RateLimitedError,
 )
-from filbertreach.schema import InvalidMessageError, JsonDecoder
+from filbertreach.schema import Int64, InvalidMessageError, JsonDecoder, base_url
 
 ALL_KEYS = ""
 """Prefix that every key has."""
@@ -65,7 +65,7 @@
 
 class _Item(msgspec.Struct):
     key: str
-    revision: int
+    revision: Int64
     value: str | None = None
     # Whether the key was removed.
     compacted: bool = False
@@ -73,13 +73,13 @@
 
 class _Range(msgspec.Struct):
     items: list[_Item]
-    at_rev: int
+    at_rev: Int64
     has_more: bool = False
 
 
 class _Watch(msgspec.Struct):
     events: list[_Item]
-    at_rev: int
+    at_rev: Int64
 
 
 _RANGE_DECODER = JsonDecoder(message=_Range)
@@ -97,7 +97,7 @@
             address: ip:port of the store.
             timeout_seconds: Time limit of a call, in addition to the wait time of a watch.
         """
-        super().__init__(base_url=f"http://{address}", timeout_seconds=timeout_seconds)
+        super().__init__(base_url=base_url(address), timeout_seconds=timeout_seconds)
 
     async def list_prefix(self, prefix: str) -> Result[StoredListing, PlatformError]:
         """Reads all keys with a prefix, page by page.
--- a/filbertreach/platform/_key_value.py
+++ b/filbertreach/platform/_key_value.py
@@ -19,7 +19,7 @@
     RateLimitedError,
     TooLargeError,
 )
-from filbertreach.schema import InvalidMessageError, JsonDecoder
+from filbertreach.schema import Int64, InvalidMessageError, JsonDecoder
 from filbertreach.timing import Clock, SystemClock
 
 MAX_VALUE_BYTES = 1_000_000
@@ -90,17 +90,17 @@
 class _ItemBody(TypedDict):
     key: str
     value: str
-    revision: int
+    revision: Int64
     lease: str | None
 
 
 class _ListBody(TypedDict):
     items: list[_ItemBody]
-    revision: int
+    revision: Int64
 
 
 class _RevisionBody(TypedDict):
-    revision: int
+    revision: Int64
 
 
 class _LeaseBody(TypedDict):
@@ -111,12 +111,12 @@
     type: Literal["put", "delete"]
     key: str
     value: NotRequired[str | None]
-    revision: int
+    revision: Int64
 
 
 class _WatchBody(TypedDict):
     events: list[_EventBody]
-    revision: int
+    revision: Int64
 
 
 _ITEM_DECODER = JsonDecoder(message=_ItemBody)
@@ -124,7 +124,7 @@
 _REVISION_DECODER = JsonDecoder(message=_RevisionBody)
 _LEASE_DECODER = JsonDecoder(message=_LeaseBody)
 _WATCH_DECODER = JsonDecoder(message=_WatchBody)
-_ANY_DECODER = JsonDecoder(message=dict[str, object])
+_ANY_DECODER = JsonDecoder(message=dict[str, object], has_open_values=True)
 
 
 class KeyValueClient(ChannelClient):
--- a/filbertreach/platform/_leaf_entries.py
+++ b/filbertreach/platform/_leaf_entries.py
@@ -6,12 +6,13 @@
 from returns.result import Failure, Result, Success
 
 from filbertreach.document import Leaf
-from filbertreach.platform._boot import parse_address
 from filbertreach.platform._deployment_store import StoredItem
-from filbertreach.schema import JsonDecoder
+from filbertreach.schema import Int64, JsonDecoder, parse_address
 
 LEAVES_PREFIX = "servers/"
 """Prefix of the entries' keys; the rest of the key is the leaf id."""
+_MAX_SLOTS = 1_000_000
+"""Largest number of slots that a leaf may state; no process runs more requests at once."""
 
 
 class LeafEntryError(Exception):
@@ -38,9 +39,9 @@
     address: str
     # Data centre.
     zone: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
     state: Literal["ready", "draining"]
-    born: int = 0
+    born: Int64 = 0
 
 
 _DECODER = JsonDecoder(message=_Entry)
--- a/filbertreach/platform/_messages.py
+++ b/filbertreach/platform/_messages.py
@@ -3,8 +3,13 @@
 import re
 from typing import NamedTuple
 
+from filbertreach.observability import get_logger
+from filbertreach.schema import parse_count
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
+_LOGGER = get_logger(__name__)
+
 READY_PATH = "/-/ready"
 """Path at which the load balancer checks whether to open new connections."""
 
@@ -21,6 +26,10 @@
 _RECORD_BYTES = 16
 """Size of one record in the response body of a shard."""
 _DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
+_MAX_REQUEST_LIMIT = 1e9
+"""Largest limit that a leaf may name, in requests per second."""
+_MAX_LOGGED_BYTES = 80
+"""Bytes of an unreadable header that are logged."""
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses by which a caller concludes that its request has not run."""
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -146,7 +155,8 @@
         elif name == b"host":
             host = _parse_host_name(value)
         elif name == _DEADLINE and value.isdigit():
-            remaining = int(value) / 1000.0
+            # A number of any length; as an integer, a long one could not be divided.
+            remaining = float(value) / 1000.0
     dropped -= {b"host", _REQUEST_ID}
     dropped |= _INTERNAL_REQUEST_HEADERS
     return CallerRequest(
@@ -213,16 +223,29 @@
 def _parse_load(value: bytes | None) -> LeafLoad | None:
     if value is None:
         return None
-    parts = value.split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    return LeafLoad(*(int(part) for part in parts))
+    counts = [parse_count(part) for part in value.split(b",")]
+    match counts:
+        case [int(running), int(queued), int(slots)]:
+            return LeafLoad(running, queued, slots)
+    _log_unreadable(_LOAD, value)
+    return None
 
 
 def _parse_request_limit(value: bytes | None) -> float | None:
-    if value is None or not _DECIMAL_NUMBER.fullmatch(value.strip()):
+    if value is None:
         return None
-    return float(value)
+    if _DECIMAL_NUMBER.fullmatch(value.strip()) and float(value) <= _MAX_REQUEST_LIMIT:
+        return float(value)
+    _log_unreadable(_REQUEST_LIMIT, value)
+    return None
+
+
+def _log_unreadable(header: bytes, value: bytes) -> None:
+    _LOGGER.warning(
+        "unreadable header of a leaf ignored",
+        header=header.decode(),
+        value=value[:_MAX_LOGGED_BYTES].decode("latin-1"),
+    )
 
 
 def forward_answer(answer: LeafAnswer) -> CallerAnswer:
--- a/filbertreach/platform/_operator_routes.py
+++ b/filbertreach/platform/_operator_routes.py
@@ -1,13 +1,20 @@
 """Decoder of the operators' route configuration in the platform's store."""
 
 import collections
+import math
 from typing import Annotated
 
 import msgspec
 from returns.result import Failure, Result, Success
 
 from filbertreach.document import CallerLimits, Route, RouteTable, ServiceLimits
-from filbertreach.schema import InvalidMessageError, JsonDecoder
+from filbertreach.schema import (
+    Int64,
+    InvalidMessageError,
+    JsonDecoder,
+    NonNegativeInt64,
+    PositiveInt64,
+)
 
 ROUTES_KEY = "op/config"
 """Key of the current configuration."""
@@ -32,30 +39,30 @@
     route_kind: str
     timeout_ms: _Positive
     objective_ms: _Positive
-    attempts: Annotated[int, msgspec.Meta(ge=1)] = 1
-    priority: int = 0
+    attempts: PositiveInt64 = 1
+    priority: NonNegativeInt64 = 0
     service: str | None = None
     split: list[_Part] | None = None
     gather: list[str] | None = None
-    top_k: int = 0
+    top_k: NonNegativeInt64 = 0
     # Smallest share of shards that a response must include.
-    floor: float = 1.0
+    floor: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1.0
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_conns: Annotated[int, msgspec.Meta(ge=1)]
+    max_conns: PositiveInt64
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
+    max_header_bytes: Int64
+    max_body_bytes: Int64
     header_timeout_ms: float
     idle_timeout_ms: float
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Int64
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
@@ -73,13 +80,13 @@
     Returns:
         The route table, or an error with the reason.
     """
+    by_host: dict[str, list[Route]] = collections.defaultdict(list)
     try:
         body = _DECODER.decode(value or b"")
-    except InvalidMessageError as error:
+        for route in body.routes:
+            by_host[route.host.lower()].append(_to_route(route))
+    except (InvalidMessageError, RoutesError) as error:
         return Failure(RoutesError(f"configuration can't be read: {error}"))
-    by_host: dict[str, list[Route]] = collections.defaultdict(list)
-    for route in body.routes:
-        by_host[route.host.lower()].append(_to_route(route))
     limits = body.limits
     return Success(
         RouteTable(
@@ -103,6 +110,11 @@
     weights = {part.service: part.weight for part in route.split or ()}
     if route.service is not None:
         weights = {route.service: 1.0}
+    if not route.gather and not 0.0 < sum(weights.values()) < math.inf:
+        raise RoutesError(
+            f"route {route.name!r} leads to no service: name a service, shards to gather from, or "
+            "a split whose weights have a sum above 0"
+        )
     return Route(
         name=route.name,
         host=route.host.lower(),
--- a/filbertreach/platform/tests/test_adapter.py
+++ b/filbertreach/platform/tests/test_adapter.py
@@ -1,6 +1,7 @@
 """Tests decoding of valid and invalid leaf entries, route configurations and HTTP messages."""
 
 import json
+import math
 import pathlib
 import re
 from typing import Any
@@ -154,6 +155,41 @@
     assert not is_successful(decode_routes(value))
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"attempts": 10**400},
+        {"priority": -1},
+        {"priority": 10**400},
+        {"top_k": -1},
+        {"floor": -0.1},
+        {"floor": 1.1},
+        {"service": None},
+        {"service": None, "gather": []},
+        {"service": None, "split": []},
+        {"service": None, "split": [{"service": "a", "weight": 0}]},
+        {"service": None, "split": [{"service": name, "weight": 1e308} for name in "ab"]},
+    ],
+    ids=lambda changes: json.dumps(changes)[:50],
+)
+def test_a_configuration_that_no_request_can_follow_is_rejected(changes: dict[str, Any]) -> None:
+    # Guards against a configuration in force with which all requests of a route fail, or the
+    # process ends.
+    assert not is_successful(decode_routes(_configuration({**_ROUTE, **changes})))
+
+
+@pytest.mark.parametrize(
+    "field", [b'"version": 7', b'"max_conns": 26', b'"max_body_bytes": 262144']
+)
+def test_a_configuration_with_a_number_too_large_is_rejected(field: bytes) -> None:
+    # Guards against the end of every gateway: the version is also the value of a metric.
+    name = field.partition(b":")[0]
+    valid = _configuration(_ROUTE)
+    assert is_successful(decode_routes(valid))
+    assert field in valid
+    assert not is_successful(decode_routes(valid.replace(field, name + b": " + b"9" * 400)))
+
+
 def test_request_is_forwarded_without_hop_by_hop_headers() -> None:
     request = read_request_head(
         method="POST",
@@ -182,7 +218,18 @@
 
 
 @pytest.mark.parametrize(
-    ("value", "seconds"), [(b"600", 0.6), (b"-1", None), (b"soon", None), (b"", None), (b"0", 0.0)]
+    ("value", "seconds"),
+    [
+        (b"600", 0.6),
+        (b"-1", None),
+        (b"soon", None),
+        (b"", None),
+        (b"0", 0.0),
+        # Any number is a deadline, also one that no integer or float holds.
+        (b"9" * 400, math.inf),
+        (b"9" * 5_000, math.inf),
+    ],
+    ids=lambda value: str(value)[:8],
 )
 def test_deadline_header_is_parsed(value: bytes, seconds: float | None) -> None:
     request = read_request_head(
@@ -229,7 +276,17 @@
 
 @pytest.mark.parametrize(
     ("value", "load"),
-    [(b"3,0,8", (3, 0, 8)), (b"3,0", None), (b"a,b,c", None), (b"", None), (b"-1,0,8", None)],
+    [
+        (b"3,0,8", (3, 0, 8)),
+        (b" 3, 0, 8 ", (3, 0, 8)),
+        (b"3,0", None),
+        (b"a,b,c", None),
+        (b"", None),
+        (b"-1,0,8", None),
+        (b"9" * 400 + b",0,8", None),
+        (b"3,0," + b"9" * 5_000, None),
+    ],
+    ids=lambda value: str(value)[:8],
 )
 def test_load_report_is_parsed(value: bytes, load: tuple[int, int, int] | None) -> None:
     assert _response(200, (b"x-server-load", value)).load == load
@@ -247,7 +304,10 @@
         (b"1_000", None),
         (b"many", None),
         (b"", None),
+        (b"9" * 400, None),
+        (b"9" * 5_000 + b".5", None),
     ],
+    ids=lambda value: str(value)[:8],
 )
 def test_request_limit_is_parsed(value: bytes, limit: float | None) -> None:
     answer = _response(200, (b"server-limit", value))
--- a/filbertreach/records/_host.py
+++ b/filbertreach/records/_host.py
@@ -4,7 +4,7 @@
 
 from typing_extensions import TypedDict
 
-from filbertreach.schema import HeldChange, Member
+from filbertreach.schema import HeldChange, Int64, Member
 
 HOSTS_PREFIX = "filbertreach/hosts/"
 """Key prefix of host records, followed by the host name."""
@@ -16,7 +16,7 @@
 class InForce(TypedDict):
     """The generation of an environment document that is in force on a host."""
 
-    generation: int
+    generation: Int64
     """Generation that every live process of the host has reported."""
     since: str
     """UTC time at which the agent received the last of these reports."""
@@ -29,7 +29,7 @@
     """Host name."""
     agent_address: str
     """ip:port of the agent's inbox."""
-    incarnation: int
+    incarnation: Int64
     """Incarnation of the agent that wrote the record, a number that differs after a restart."""
     state: str
     """starting, live or leaving."""
--- a/filbertreach/schema/__init__.py
+++ b/filbertreach/schema/__init__.py
@@ -1,5 +1,6 @@
 """Messages, settings and documents: types generated from JSON Schema, and the schemas."""
 
+from filbertreach.schema._addresses import base_url, parse_address
 from filbertreach.schema._decoders import InvalidMessageError, JsonDecoder, MsgpackDecoder
 from filbertreach.schema._generated_ctl import CtlPlatformSection, CtlSection, CtlSettings
 from filbertreach.schema._generated_document import (
@@ -49,6 +50,7 @@
     ViewSection,
 )
 from filbertreach.schema._load import load_schema
+from filbertreach.schema._numbers import Int64, NonNegativeInt64, PositiveInt64, parse_count
 
 __all__ = [
     "AgentSection",
@@ -75,6 +77,7 @@
     "Hello",
     "HostListNews",
     "HostState",
+    "Int64",
     "InvalidMessageError",
     "JsonDecoder",
     "KnownHost",
@@ -83,10 +86,12 @@
     "MapSection",
     "Member",
     "MsgpackDecoder",
+    "NonNegativeInt64",
     "ObservabilitySection",
     "PlatformSection",
     "PolicySection",
     "PoolSection",
+    "PositiveInt64",
     "ProcessSection",
     "RankSection",
     "ServiceLoad",
@@ -97,5 +102,8 @@
     "StoreNewsItem",
     "View",
     "ViewSection",
+    "base_url",
     "load_schema",
+    "parse_address",
+    "parse_count",
 ]
--- a/filbertreach/schema/_generated_messages.py
+++ b/filbertreach/schema/_generated_messages.py
@@ -5,6 +5,8 @@
 
 from typing import Any, Literal, NotRequired, TypeAlias, TypedDict
 
+from filbertreach.schema._numbers import Int64
+
 Messages: TypeAlias = Any
 """
 Messages between filbertreach processes, sent as msgpack frames over pynng.
@@ -244,7 +246,7 @@
     """
     ip:port of the process's inbox.
     """
-    incarnation: int
+    incarnation: Int64
     """
     New for each process start, increasing.
     """
@@ -540,7 +542,7 @@
     """
     Key.
     """
-    revision: int
+    revision: Int64
     """
     Revision of the change.
     """
@@ -563,7 +565,7 @@
     """
     False if changes after the revision that was asked for are no longer kept.
     """
-    revision: int
+    revision: Int64
     """
     Revision up to which the changes are complete.
     """
@@ -601,7 +603,7 @@
     Answer to a gateway that introduces itself.
     """
 
-    total: int
+    total: Int64
     """
     Hosts heard lately in all data centres, the sender included.
     """
--- a/filbertreach_standins/leaf/_answers.py
+++ b/filbertreach_standins/leaf/_answers.py
@@ -112,6 +112,20 @@
     return _encode_with(parts, rows=rows, row_count=len(rows))
 
 
+@_register_corruption("large_number", "each row has an integer of 400 digits")
+def _large_number(parts: AnswerParts) -> bytes:
+    number = b"9" * 400
+    rows = [{**row, "number": "NUMBER"} for row in answer(parts)["rows"]]
+    return _encode_with(parts, rows=rows).replace(b'"NUMBER"', number)
+
+
+@_register_corruption("nested_rows", "each row has a value that is nested 300 times")
+def _nested_rows(parts: AnswerParts) -> bytes:
+    nested = b"[" * 300 + b"]" * 300
+    rows = [{**row, "nested": "NESTED"} for row in answer(parts)["rows"]]
+    return _encode_with(parts, rows=rows).replace(b'"NESTED"', nested)
+
+
 CORRUPTION_FAULTS = tuple(
     Fault(name, False, Trigger, meaning) for name, meaning in _meaning_by_fault.items()
 )
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -1,8 +1,10 @@
 """Malformed input at the boundaries of the processes, made by mutation of valid input.
 
-Each decoder returns a value or reports one of its own errors, whatever it is given.
+Each decoder returns a value or reports one of its own errors, whatever it is given, and what it
+returns can be used.
 """
 
+import itertools
 import json
 import pathlib
 import tempfile
@@ -11,32 +13,41 @@
 from unittest import mock
 
 import anyio
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
 from filbertreach.agent._values import parse_document_value, parse_host_record
-from filbertreach.document import parse_document
+from filbertreach.decisions import LeafTracker
+from filbertreach.document import Leaf, Pool, Route, parse_document
 from filbertreach.entry._problems import ProblemError
 from filbertreach.entry._request import parse_body, parse_headers
 from filbertreach.gateway._buffer_budget import BufferBudget
 from filbertreach.gateway._change_log import decode_change
+from filbertreach.gateway._directory import Directory
+from filbertreach.gateway._leaf_handle import Location
 from filbertreach.gateway._neighbours import Neighbours
+from filbertreach.gateway._query import Query, QueryResult
+from filbertreach.gateway._request_limit import RequestLimit
+from filbertreach.gateway._request_turns import TurnSchedule
 from filbertreach.gateway._response_parser import InvalidResponseError, ResponseParser
+from filbertreach.gateway._retry_budget import RetryBudgetSettings
 from filbertreach.platform import (
     ALL_KEYS,
+    ROUTES_KEY,
     DeploymentStore,
     HttpResponse,
     StoredItem,
+    StoredListing,
     decode_leaf_entry,
     decode_routes,
     load_boot,
-    parse_address,
     read_leaf_answer,
     read_request_head,
 )
-from filbertreach.schema import KnownHost
+from filbertreach.schema import KnownHost, parse_address
 from filbertreach.settings import load_text
 from filbertreach.timing import FakeClock
 
@@ -158,6 +169,7 @@
     st.none()
     | st.booleans()
     | st.integers()
+    | st.sampled_from([2**53, 2**63, 2**64, 10**400, -(10**400), 1e308, -1e308])
     | st.floats(allow_nan=False, allow_infinity=False)
     | st.text(max_size=8),
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=4), inner),
@@ -172,7 +184,8 @@
     for _ in range(draw(st.integers(1, 4))):
         begin = draw(st.integers(0, len(data)))
         end = draw(st.integers(begin, min(len(data), begin + 8)))
-        data[begin:end] = draw(st.binary(max_size=8) | st.just(b"[" * 3000))
+        long_parts = st.sampled_from([b"[" * 3000, b"9" * 400, b"9" * 5000])
+        data[begin:end] = draw(st.binary(max_size=8) | long_parts)
     return bytes(data[: draw(st.integers(0, len(data)))]) if draw(st.booleans()) else bytes(data)
 
 
@@ -221,6 +234,18 @@
     )
 
 
+def _directory() -> Directory:
+    return Directory(
+        clock=FakeClock(),
+        location=Location("minho", "minho-1"),
+        region_by_data_centre={"minho-1": "minho"},
+        budget=RetryBudgetSettings(),
+        drain_seconds=3.0,
+        spawn=lambda run, name: None,
+        on_change=lambda: None,
+    )
+
+
 def _mutated_text(valid: str) -> st.SearchStrategy[str]:
     return _mutated_bytes(valid.encode()).map(lambda data: data.decode(errors="replace"))
 
@@ -233,12 +258,34 @@
 def test_leaf_entries(data: bytes) -> None:
     item = StoredItem("servers/i-1", data, 3)
     assert isinstance(decode_leaf_entry(item, region_by_data_centre={}), Success | Failure)
+    directory = _directory()
+    directory.on_listing(StoredListing({item.key: item}, 3), 0.0)
+    for pool in directory.pool_by_service.values():
+        assert pool.choose(tried=(), now=0.0) is not None
 
 
 @_fuzz
 @given(_mutated_json(_ROUTES))
 def test_configurations(data: bytes) -> None:
     assert isinstance(decode_routes(data), Success | Failure)
+    directory = _directory()
+    directory.on_change(ROUTES_KEY, StoredItem(ROUTES_KEY, data, 3), 0.0)
+    if directory.table is not None:
+        for route in itertools.chain(*directory.table.routes_by_host.values()):
+            assert anyio.run(_query_without_leaves, directory, route).answer.status == 503
+
+
+async def _query_without_leaves(directory: Directory, route: Route) -> QueryResult:
+    query = Query(
+        request=read_request_head(method="GET", target=b"/a/", headers=[], body=b""),
+        route=route,
+        pools=directory.pools_for(route),
+        attempt_latencies=directory.statistics(route).attempt_latencies,
+        late_shard_latencies=directory.statistics(route).late_shard_latencies,
+        clock=FakeClock(),
+        arrived_at=0.0,
+    )
+    return await query.run()
 
 
 @_fuzz
@@ -253,9 +300,11 @@
 @given(_mutated_json(_QUERY))
 def test_queries_of_callers(data: bytes) -> None:
     try:
-        parse_body(data)
+        body = parse_body(data)
     except ProblemError as error:
         assert error.problem.status == 400
+    else:
+        msgspec.msgpack.encode(body)
 
 
 @_fuzz
@@ -272,6 +321,31 @@
         read_leaf_answer(status=200, headers=mixed, body=b"")
 
 
+_NUMBERS = st.from_regex(rb"[ 0-9.,+-]{0,12}", fullmatch=True) | st.sampled_from(
+    [b"9" * 400, b"9" * 5000, b"0." + b"9" * 400, b"1e400", b"inf", b"nan"]
+)
+
+
+@_fuzz
+@given(st.lists(_NUMBERS, min_size=1, max_size=3))
+def test_numbers_in_headers(parts: list[bytes]) -> None:
+    headers = [(name, b",".join(parts)) for name in (b"x-server-load", b"server-limit")]
+    answer = read_leaf_answer(status=200, headers=headers, body=b"")
+    if answer.request_limit is not None:
+        limit = RequestLimit(leaf="a", service="fleet", hosts=3, schedule=TurnSchedule())
+        limit.on_named(answer.request_limit, 0.0)
+        limit.count_call("first", 0.0)
+        assert limit.available_at(1.0, priority=2) >= 0.0
+    if answer.load is not None:
+        tracker = LeafTracker(leaf=Leaf("a", "10.0.0.1:1", "", ""), pool=Pool("fleet", 2, 2, 1.0))
+        tracker.record_load_report(answer.load.running, answer.load.queued, 0.0)
+        assert tracker.expected_seconds(0.0, 0.1) > 0.0
+    request = read_request_head(
+        method="GET", target=b"/", headers=[(b"x-deadline-ms", parts[0])], body=b""
+    )
+    assert request.remaining_seconds is None or request.remaining_seconds >= 0.0
+
+
 @pytest.mark.parametrize("part_bytes", [1, 7, 10_000])
 @_fuzz
 @given(data=_mutated_bytes(_RESPONSE))
--- a/tests/test_query_path.py
+++ b/tests/test_query_path.py
@@ -47,6 +47,9 @@
         ({"deadline_ms": "soon"}, 400, "bad-request", "deadline_ms"),
         ({"request_id": ""}, 400, "bad-request", "request_id"),
         ({"query": None}, 400, "bad-request", "query"),
+        # These could be read, but not passed on to a dispatch process.
+        ({"query": {"n": 2**64}}, 400, "bad-request", "64 bits"),
+        ({"query": json.loads('{"a":' * 300 + "1" + "}" * 300)}, 400, "bad-request", "nested"),
         ({"merge": {"kind": "top"}}, 400, "bad-request", "needs order_by"),
         ({"merge": {"kind": "zip"}}, 400, "bad-request", "kind"),
         ({"merge": {"kind": "concatenate", "limit": 10**9}}, 400, "bad-request", "limit"),
