--- a/filbertreach/transport/_peer.py
+++ b/filbertreach/transport/_peer.py
@@ -2,9 +2,10 @@
 
 import collections
 import enum
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import anyio
+import msgspec
 
 from filbertreach.transport._delay import DelayEstimator
 
@@ -34,8 +35,8 @@
     """Sequence number in the epoch, from 1."""
     sent_at: float
     """Clock time when it was first sent, in seconds."""
-    messages: list[dict[str, Any]]
-    """Messages of the frame, in order."""
+    messages: list[msgspec.Raw]
+    """Encoded messages of the frame, in order."""
 
 
 class ConnectionState:
@@ -75,7 +76,7 @@
         # Sending.
         self.epoch = 1
         self.sequence = 0
-        self.unsent: list[dict[str, Any]] = []
+        self.unsent: list[msgspec.Raw] = []
         self.unacknowledged: collections.deque[SentFrame] = collections.deque()
         self.wake = anyio.Event()
         self.was_acknowledged = False
--- a/filbertreach/transport/_transport.py
+++ b/filbertreach/transport/_transport.py
@@ -15,7 +15,7 @@
 import msgspec
 import pynng
 
-from filbertreach.schema import Frame, InvalidMessageError, MsgpackDecoder
+from filbertreach.schema import Frame, InvalidMessageError, MsgpackDecoder, parse_address
 from filbertreach.timing import Clock, SystemClock
 from filbertreach.transport._errors import TransportError
 from filbertreach.transport._peer import ConnectionState, Peer, PeerState, SentFrame
@@ -144,15 +144,21 @@
 
         Returns:
             Whether the message was queued; False if the peer is silent or has too many
-            unacknowledged frames.
+            unacknowledged frames, its address is unusable or the message can't be encoded.
         """
         peer = self._peer(address)
-        if peer.state is PeerState.SILENT:
+        if peer is None or peer.state is PeerState.SILENT:
             return False
         if len(peer.unacknowledged) >= _MAX_UNACKNOWLEDGED_FRAMES:
             return False
+        try:
+            encoded = msgspec.Raw(self._encoder.encode(message))
+        except (TypeError, OverflowError, RecursionError) as error:
+            # A frame that can't be encoded would stop the messages behind it.
+            _LOGGER.error("message to %s not sent: %s", address, error)
+            return False
         peer.last_used_at = self._clock.now()
-        peer.unsent.append(cast(dict[str, Any], message))
+        peer.unsent.append(encoded)
         peer.notify()
         return True
 
@@ -204,10 +210,16 @@
             return True
         return False
 
-    def _peer(self, address: str) -> Peer:
+    def _peer(self, address: str) -> Peer | None:
+        """Returns the link to a peer, created if it is unknown; None for an unusable address."""
         peer = self.peer_by_address.get(address)
         if peer is None:
             assert self._group is not None
+            try:
+                parse_address(address)
+            except ValueError as error:
+                _LOGGER.warning("peer not connected: %s", error)
+                return None
             peer = Peer(address=address, created_at=self._clock.now())
             self.peer_by_address[address] = peer
             self._group.start_soon(self._run_outbox, peer, name=f"outbox {address}")
@@ -226,7 +238,7 @@
 
     def _handle_frame(self, frame: Frame) -> None:
         peer = self._peer(frame["address"])
-        if not peer.accepts_incarnation(frame["incarnation"]):
+        if peer is None or not peer.accepts_incarnation(frame["incarnation"]):
             return
         self._record_heard(peer, frame)
         if frame["receiver_incarnation"] != self.incarnation:
@@ -332,7 +344,7 @@
             acknowledged_epoch=peer.received_epoch,
             acknowledged_sequence=peer.received_sequence,
             heard_seconds=self._clock.now() - peer.last_heard_at if peer.incarnation else -1.0,
-            messages=sent.messages if sent else [],
+            messages=cast(list[dict[str, Any]], sent.messages) if sent else [],
         )
         await socket.asend(self._encoder.encode(frame))
 
--- a/filbertreach/transport/tests/test_transport.py
+++ b/filbertreach/transport/tests/test_transport.py
@@ -7,7 +7,7 @@
 
 from filbertreach.transport import Transport
 from filbertreach.transport._delay import DelayEstimator
-from filbertreach.transport._transport import SILENCE_SECONDS
+from filbertreach.transport._transport import HEARTBEAT_SECONDS, SILENCE_SECONDS
 from filbertreach_standins.ports import free_address
 from filbertreach_standins.relay import Relay
 
@@ -237,3 +237,47 @@
             assert anyio.current_time() - ended < SILENCE_SECONDS
 
     anyio.run(run)
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1:99999", "127.0.0.1:0", "nowhere", ""])
+def test_an_unusable_address_ends_nothing(address):
+    # Guards against the end of a process by one record of a host with a port out of range.
+    async def run():
+        async with _pair() as (near, far, _relay, _near_events, far_events):
+            near.keep_connected({address, far.address})
+            assert not near.send(address=address, message={"kind": "test", "number": 0})
+            far.send(address=near.address, message={"kind": "test", "number": 0})
+            near.send(address=far.address, message={"kind": "test", "number": 1})
+            await _until(lambda: far_events.messages == [1])
+            assert address not in near.peer_by_address
+
+    anyio.run(run)
+
+
+def test_a_frame_from_an_unusable_address_ends_nothing():
+    async def run():
+        async with _pair() as (near, far, _relay, _near_events, _far_events):
+            near.address = "127.0.0.1:99999"
+            for number in range(3):
+                near.send(address=far.address, message={"kind": "test", "number": number})
+            await anyio.sleep(2 * HEARTBEAT_SECONDS)
+            assert near.address not in far.peer_by_address
+            near.address = "127.0.0.1:1"
+            await _until(lambda: near.address in far.peer_by_address)
+
+    anyio.run(run)
+
+
+@pytest.mark.parametrize("value", [2**64, -(2**70), object()], ids=["large", "small", "object"])
+def test_a_message_that_cannot_be_encoded_stops_no_other(value):
+    # Guards against the end of a process by a value that it read but can't pass on.
+    async def run():
+        async with _pair() as (near, far, _relay, _near_events, far_events):
+            near.keep_connected({far.address})
+            await _until(lambda: near.is_reachable(far.address))
+            assert near.send(address=far.address, message={"kind": "test", "number": 1})
+            assert not near.send(address=far.address, message={"kind": "test", "number": value})
+            assert near.send(address=far.address, message={"kind": "test", "number": 2})
+            await _until(lambda: far_events.messages == [1, 2])
+
+    anyio.run(run)
