--- a/filbertreach/gateway/_directory.py
+++ b/filbertreach/gateway/_directory.py
@@ -217,6 +217,16 @@
         return None
 
     def _update_leaf(self, entry: LeafEntry, since: float) -> None:
+        """Applies an entry; if that fails, its leaf is not used and the others are unaffected."""
+        try:
+            self._apply_entry(entry, since)
+        except Exception as error:
+            _LOGGER.error(
+                "leaf entry not applied", leaf=entry.leaf.id, error=repr(error), exc_info=True
+            )
+            self._unlist_leaf(entry.leaf.id, "not applied", since)
+
+    def _apply_entry(self, entry: LeafEntry, since: float) -> None:
         leaf_id = entry.leaf.id
         old_service = self._service_by_leaf.get(leaf_id)
         if old_service is not None and old_service != entry.service:
