--- a/filbertreach/gateway/_response_parser.py
+++ b/filbertreach/gateway/_response_parser.py
@@ -33,6 +33,7 @@
 """Headers and trailers of a response; an object in memory is larger than its bytes on the wire."""
 _MAX_INTERIM_RESPONSES = 16
 """Interim responses (1xx) before a final one."""
+_MAX_STATUS = 599
 
 
 class ResponseParser:
@@ -179,5 +180,7 @@
         self._in_body = False
         self._interim_count = 0
         status = self._parser.get_status_code()
+        if status > _MAX_STATUS:
+            raise InvalidResponseError(f"status {status} does not exist")
         self._responses.append(RawResponse(status, self._headers, bytes(self._body), keep_alive))
         self._body = bytearray()
--- a/filbertreach/gateway/tests/test_response_limits.py
+++ b/filbertreach/gateway/tests/test_response_limits.py
@@ -117,3 +117,12 @@
     (first,) = parser.feed(copy + _HEAD)
     (second,) = parser.feed(b"Content-Length: 2\r\n\r\nok")
     assert (len(first.body), second.body) == (300_000, b"ok")
+
+
+@pytest.mark.parametrize("status", [b"600", b"999"])
+def test_a_status_that_does_not_exist_is_no_response(status: bytes) -> None:
+    # Guards against an answer that can't be sent to the caller, who got a 500 in its place.
+    parser = ResponseParser(buffers=BufferBudget())
+    with pytest.raises(InvalidResponseError):
+        parser.feed(b"HTTP/1.1 " + status + b" Odd\r\nContent-Length: 0\r\n\r\n")
+    assert parser.take() == []
