--- a/filbertreach/gateway/_leaf_handle.py
+++ b/filbertreach/gateway/_leaf_handle.py
@@ -87,7 +87,9 @@
         ready."""
         self._clock = clock
         self._idle: list[LeafConnection] = []
-        self._open: set[LeafConnection] = set()
+        self._usable: set[LeafConnection] = set()
+        """Connections that are being opened, carry a request or are idle; not those that are being
+        closed."""
 
     @property
     def leaf(self) -> Leaf:
@@ -97,9 +99,12 @@
     @property
     def has_connection(self) -> bool:
         """Whether a connection is available without waiting for another request to end."""
-        return len(self._open) < self.max_connections or any(
-            c.is_within_keep_alive for c in self._idle
-        )
+        if len(self._usable) < self.max_connections:
+            return True
+        if any(connection.is_within_keep_alive for connection in self._idle):
+            return True
+        # Expired connections are closed before the next one is opened.
+        return len(self._usable) - len(self._idle) < self.max_connections
 
     def take_idle(self) -> LeafConnection | None:
         """Returns the most recently used idle connection; closes the expired ones."""
@@ -113,26 +118,43 @@
     def open(self) -> LeafConnection:
         """Returns a new connection, whose `run` must be started as a task."""
         connection = LeafConnection(leaf=self.leaf, owner=self, clock=self._clock)
-        self._open.add(connection)
+        self._usable.add(connection)
         CONNECTIONS_OPENED.inc()
         CONNECTIONS.inc()
         return connection
 
     def on_idle(self, connection: LeafConnection) -> None:
-        """Adds a connection to the idle ones."""
+        """Adds a connection to the idle ones, or closes it if the leaf may not be used any more."""
         self._idle.append(connection)
+        if self._clock.now() >= self.usable_until:
+            connection.close()
 
     def on_unusable(self, connection: LeafConnection) -> None:
-        """Removes a connection from the idle ones."""
+        """Removes a connection that takes no further requests."""
+        self._usable.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
 
     def on_closed(self, connection: LeafConnection) -> None:
         """Removes a closed connection."""
-        self._open.discard(connection)
+        self._usable.discard(connection)
         CONNECTIONS.dec()
 
     def close_idle(self) -> None:
         """Closes the connections without a request in progress."""
         for connection in list(self._idle):
             connection.close()
+
+    def close_expired(self) -> None:
+        """Closes the idle connections that may not be reused any more.
+
+        The leaf closes them too, but its close does not arrive on a connection that went silent.
+        """
+        for connection in list(self._idle):
+            if not connection.is_within_keep_alive:
+                connection.close()
+
+    def retire(self) -> None:
+        """Ends the use of the leaf; connections with a request in progress close after it."""
+        self.usable_until = min(self.usable_until, self._clock.now())
+        self.close_idle()
--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -124,7 +124,7 @@
             or handle.leaf != entry.leaf
         ):
             if handle is not None:
-                handle.close_idle()
+                handle.retire()
                 handle.request_limit.on_removed(self._clock.now())
             handle = LeafHandle(
                 entry=entry,
@@ -177,16 +177,18 @@
                 service=self.service,
                 address=handle.leaf.address,
             )
-        handle.usable_until = min(handle.usable_until, self._clock.now())
-        handle.close_idle()
+        handle.retire()
 
     def remove_expired(self, now: float) -> None:
         """Removes leaves that can no longer be chosen and have no call in flight, and departures.
 
+        Also closes the connections that may not be reused any more.
+
         Args:
             now: Current clock, in seconds.
         """
         for leaf_id, handle in list(self.handle_by_id.items()):
+            handle.close_expired()
             if now > handle.usable_until:
                 handle.close_idle()
                 if not handle.tracker.in_flight:
--- a/filbertreach/gateway/tests/test_service_pool.py
+++ b/filbertreach/gateway/tests/test_service_pool.py
@@ -1,15 +1,20 @@
 """Choice of leaves in a pool, with a fake clock and without connections."""
 
+import functools
 import math
+from collections.abc import Callable
+from typing import Any
 
+import anyio
 import pytest
 
 from filbertreach.decisions import LeafOutcome
 from filbertreach.document import Leaf
+from filbertreach.gateway._leaf_connection import LeafConnection
 from filbertreach.gateway._leaf_handle import Location
 from filbertreach.gateway._request_turns import TurnSchedule
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
-from filbertreach.gateway._service_pool import ServicePool
+from filbertreach.gateway._service_pool import _MIN_SHARING_HOSTS, ServicePool
 from filbertreach.platform import LeafEntry
 from filbertreach.timing import FakeClock
 
@@ -248,3 +253,107 @@
     clock.advance(0.08)
     handle = pool.choose(tried=(), now=clock.now())
     assert handle is not None and handle.leaf.id == "far"
+
+
+class _Connections:
+    """Connections of a pool, opened without a network; `connect` stands for their tasks."""
+
+    def __init__(self, clock: FakeClock, *, connections: int) -> None:
+        self.pool = _pool(clock)
+        self.pool.set_connections(connections * _MIN_SHARING_HOSTS)
+        self._clock = clock
+
+    def open_idle(self, leaf_id: str) -> LeafConnection:
+        """Opens a connection that becomes idle, as after a request."""
+        handle = self.pool.handle_by_id[leaf_id]
+        connection = handle.open()
+        connection._mark_idle()
+        return connection
+
+    def chosen(self) -> str | None:
+        handle = self.pool.choose(tried=(), now=self._clock.now())
+        return handle.leaf.id if handle else None
+
+
+def _in_event_loop(test: Callable[..., None]) -> Callable[..., None]:
+    """Runs a test in an event loop, which connections need."""
+
+    @functools.wraps(test)
+    def run(**arguments: Any) -> None:
+        async def call() -> None:
+            test(**arguments)
+
+        anyio.run(call)
+
+    return run
+
+
+def _is_closed(connection: LeafConnection) -> bool:
+    return connection._scope.cancel_called
+
+
+@_in_event_loop
+def test_expired_idle_connections_do_not_keep_a_leaf_from_use() -> None:
+    # Guards against leaves that are never called again: all connections to them are idle and past
+    # their keep-alive time, and the close of the leaf never arrives on a silent connection.
+    clock = FakeClock(start=100.0)
+    connections = _Connections(clock, connections=2)
+    connections.pool.update_leaf(_entry("a", "minho"), since=0.0)
+    opened = [connections.open_idle("a") for _ in range(2)]
+    assert connections.chosen() == "a"
+    clock.advance(31.0)
+    assert connections.chosen() == "a"
+    handle = connections.pool.handle_by_id["a"]
+    assert handle.take_idle() is None
+    assert all(_is_closed(connection) for connection in opened)
+    # Those that replace them count again.
+    busy = [handle.open() for _ in range(2)]
+    assert connections.chosen() is None
+    handle.on_closed(busy[0])
+    assert connections.chosen() == "a"
+
+
+@_in_event_loop
+def test_expired_idle_connections_are_closed_without_a_request() -> None:
+    # Guards against connections that stay open for ever after the network has lost their close.
+    clock = FakeClock(start=100.0)
+    connections = _Connections(clock, connections=2)
+    connections.pool.update_leaf(_entry("a", "minho"), since=0.0)
+    old = connections.open_idle("a")
+    clock.advance(20.0)
+    recent = connections.open_idle("a")
+    clock.advance(15.0)
+    connections.pool.remove_expired(clock.now())
+    assert _is_closed(old) and not _is_closed(recent)
+
+
+@_in_event_loop
+def test_a_connection_that_is_being_closed_takes_no_place() -> None:
+    clock = FakeClock(start=100.0)
+    connections = _Connections(clock, connections=1)
+    connections.pool.update_leaf(_entry("a", "minho"), since=0.0)
+    connections.open_idle("a").close()
+    assert connections.chosen() == "a"
+
+
+@pytest.mark.parametrize("change", ["restarted", "misdirected", "left"])
+@_in_event_loop
+def test_connections_of_a_leaf_that_is_gone_are_closed_after_their_request(change: str) -> None:
+    # Guards against connections that are kept for ever since nothing chooses their leaf any more.
+    clock = FakeClock(start=100.0)
+    connections = _Connections(clock, connections=2)
+    pool = connections.pool
+    pool.update_leaf(_entry("a", "minho"), since=0.0)
+    handle = pool.handle_by_id["a"]
+    idle, busy = connections.open_idle("a"), handle.open()
+    if change == "restarted":
+        pool.update_leaf(_entry("a", "minho", born=2), since=0.0)
+    elif change == "misdirected":
+        pool.on_misdirected(handle)
+    else:
+        pool.unlist_leaf("a", since=99.0)
+        clock.advance(3.0)
+        pool.remove_expired(clock.now())
+    assert _is_closed(idle) and not _is_closed(busy)
+    busy._mark_idle()
+    assert _is_closed(busy)
