--- a/filbertreach/observability/_http_server.py
+++ b/filbertreach/observability/_http_server.py
@@ -21,6 +21,9 @@
 """Bytes of a request other than its body: request line, headers, chunk framing and trailers."""
 _MAX_OVERHEAD_PER_BODY_BYTE = 8
 """Additional overhead for each byte of the body; a chunk of one byte has five bytes of framing."""
+_STALL_SECONDS = 20.0
+"""Time after which a connection is closed on which no more of a request arrives, or of whose
+response the client takes nothing. A connection may go silent without being closed."""
 _HEAD_TOO_LARGE = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"content-length: 0\r\nconnection: close\r\n\r\n"
@@ -30,12 +33,14 @@
 
 
 class _BoundedProtocol(HttpToolsProtocol):
-    """Closes a connection whose request has a head, chunk framing or trailers without end.
+    """Closes a connection whose request has no end, or that stalls within an exchange.
 
-    uvicorn does not limit them. It does limit how much of a body is read before the application
-    takes it, and the application limits the body.
+    uvicorn limits neither head, chunk framing and trailers of a request nor the time in which a
+    request arrives and its response is taken. It does limit how much of a body is read before the
+    application takes it, and the application limits the body.
     """
 
+    _stall_timer: asyncio.TimerHandle | None = None
     _in_request = False
     _overhead_bytes = 0
     _body_bytes = 0
@@ -61,8 +66,11 @@
     def data_received(self, data: bytes) -> None:
         """Parses bytes from the client, and checks the limit if the request is incomplete."""
         super().data_received(data)
+        if not self.flow.write_paused:
+            self._stop_stall_timer()
         if not self._in_request or self.transport.is_closing():
             return
+        self._start_stall_timer()
         self._overhead_bytes += len(data)
         max_bytes = _MAX_OVERHEAD_BYTES + _MAX_OVERHEAD_PER_BODY_BYTE * self._body_bytes
         if self._overhead_bytes > max_bytes:
@@ -71,6 +79,40 @@
                 self.transport.write(_HEAD_TOO_LARGE)
             self.transport.close()
 
+    def pause_writing(self) -> None:
+        """Waits until the client takes more of the response, for a limited time."""
+        super().pause_writing()
+        self._start_stall_timer()
+
+    def resume_writing(self) -> None:
+        """Ends the wait for the client."""
+        self._stop_stall_timer()
+        super().resume_writing()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the exchange of a closed connection."""
+        self._stop_stall_timer()
+        super().connection_lost(exc)
+
+    def timeout_keep_alive_handler(self) -> None:
+        """Closes an idle connection, also one whose last response the client did not take."""
+        super().timeout_keep_alive_handler()
+        if self.transport.get_write_buffer_size():
+            self.transport.abort()
+
+    def _start_stall_timer(self) -> None:
+        self._stop_stall_timer()
+        self._stall_timer = self.loop.call_later(_STALL_SECONDS, self._abort_stalled)
+
+    def _stop_stall_timer(self) -> None:
+        if self._stall_timer is not None:
+            self._stall_timer.cancel()
+            self._stall_timer = None
+
+    def _abort_stalled(self) -> None:
+        _LOGGER.warning("connection stalled", client=self.client, seconds=_STALL_SECONDS)
+        self.transport.abort()
+
 
 class _Server(uvicorn.Server):
     """A uvicorn server that resets no connection whose request it has not read yet."""
--- a/filbertreach/observability/tests/test_http_server.py
+++ b/filbertreach/observability/tests/test_http_server.py
@@ -1,7 +1,9 @@
 """The graceful stop and the limits of the HTTP server, over loopback sockets."""
 
+import contextlib
 import socket
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 import anyio
 import anyio.to_thread
@@ -143,3 +145,72 @@
         server.stop()
 
     _run(test, use_uvloop)
+
+
+_STALL_SECONDS = 0.3
+
+
+@_event_loops
+@pytest.mark.parametrize(
+    "sent",
+    [_REQUEST[:10], b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf"],
+    ids=["head", "body"],
+)
+def test_a_connection_that_stalls_within_a_request_is_closed(sent: bytes, use_uvloop: bool) -> None:
+    # Guards against descriptors that are taken for ever by clients whose connections went silent.
+    async def test(server: HttpServer, address: tuple[str, int]) -> None:
+        stalled, idle = _connect(address), _connect(address)
+        stalled.sendall(sent)
+        with contextlib.suppress(ConnectionResetError):
+            while await anyio.to_thread.run_sync(stalled.recv, 65536):
+                pass
+        # A connection without a request is not closed by it.
+        idle.sendall(_REQUEST)
+        await _receive_answer(idle)
+        server.stop()
+
+    with mock.patch("filbertreach.observability._http_server._STALL_SECONDS", _STALL_SECONDS):
+        _run(test, use_uvloop)
+
+
+@_event_loops
+def test_a_slow_request_is_read_as_long_as_it_goes_on(use_uvloop: bool) -> None:
+    async def test(server: HttpServer, address: tuple[str, int]) -> None:
+        connection = _connect(address)
+        for begin in range(0, len(_REQUEST), 4):
+            connection.sendall(_REQUEST[begin : begin + 4])
+            await anyio.sleep(_STALL_SECONDS / 5)
+        await _receive_answer(connection)
+        server.stop()
+
+    with mock.patch("filbertreach.observability._http_server._STALL_SECONDS", _STALL_SECONDS):
+        _run(test, use_uvloop)
+
+
+@_event_loops
+def test_a_response_that_the_client_does_not_take_ends(use_uvloop: bool) -> None:
+    # Guards against requests that are in progress for ever as their callers went silent.
+    async def test(server: HttpServer, address: tuple[str, int]) -> None:
+        connection = _connect(address)
+        connection.sendall(_REQUEST)
+        await ended.wait()
+        server.stop()
+
+    ended = anyio.Event()
+
+    async def application(scope: Scope, receive: Receive, send: Send) -> None:
+        try:
+            await send({"type": "http.response.start", "status": 200, "headers": []})
+            for _ in range(8):
+                # A part waits until the client has taken most of the ones before it.
+                await send(
+                    {"type": "http.response.body", "body": bytes(2_000_000), "more_body": True}
+                )
+        finally:
+            ended.set()
+
+    with (
+        mock.patch("filbertreach.observability._http_server._STALL_SECONDS", _STALL_SECONDS),
+        mock.patch(f"{__name__}._application", application),
+    ):
+        _run(test, use_uvloop)
