--- a/filbertreach/dispatch/_attempt_runner.py
+++ b/filbertreach/dispatch/_attempt_runner.py
@@ -7,13 +7,18 @@
 import httpcore
 
 from filbertreach.decisions import LeafOutcome
-from filbertreach.dispatch._errors import LeafError, LeafReport, VersionUnavailableError
+from filbertreach.dispatch._errors import (
+    LeafError,
+    LeafFailedError,
+    LeafReport,
+    VersionUnavailableError,
+)
 from filbertreach.dispatch._exchange import SearchBody, search
 from filbertreach.dispatch._leaf_link import LeafLink
 from filbertreach.dispatch._metrics import LEAF_OUTCOMES, LEAF_SECONDS
 from filbertreach.dispatch._pending import Attempt, PendingCall
 from filbertreach.dispatch._results import outcome_of
-from filbertreach.observability import Tracing
+from filbertreach.observability import Tracing, get_logger
 from filbertreach.timing import Clock
 
 _CANCEL_GRACE_SECONDS = 0.25
@@ -21,6 +26,8 @@
 _DEADLINE_GRACE_SECONDS = 0.05
 """Time after the deadline for a leaf to report it, before the connection is closed."""
 
+_LOGGER = get_logger(__name__)
+
 
 class AttemptListener(Protocol):
     """Decides what follows from the end of an attempt."""
@@ -124,6 +131,16 @@
             except LeafError as caught:
                 error, report = caught, caught.report
                 span.set("error", str(caught))
+            except Exception as unexpected:
+                # The tasks of the other connections and of the process go on.
+                _LOGGER.error(
+                    "attempt at leaf failed",
+                    leaf=attempt.tracker.leaf.id,
+                    error=repr(unexpected),
+                    exc_info=True,
+                )
+                error = LeafFailedError(message=repr(unexpected), started=True)
+                span.set("error", repr(unexpected))
         if report is not None:
             self._apply_report(attempt, report)
         if body is not None:
@@ -174,6 +191,9 @@
 
     def _handle_no_response(self, attempt: Attempt) -> None:
         attempt.pending.may_have_started = True
+        link = self._find_link(attempt.tracker.leaf.id)
+        if link is not None:
+            link.record_silence()
         if attempt.cancelled:
             self._end(attempt, LeafOutcome.CANCELLED)
             return
--- a/filbertreach/dispatch/_leaf_link.py
+++ b/filbertreach/dispatch/_leaf_link.py
@@ -16,7 +16,8 @@
 from filbertreach.dispatch._exchange import LeafResponse, new_connection, request
 from filbertreach.dispatch._metrics import CONNECTIONS_REPLACED, LEAF_CONNECTIONS
 from filbertreach.dispatch._pending import Attempt
-from filbertreach.schema import InvalidMessageError, JsonDecoder
+from filbertreach.observability import get_logger
+from filbertreach.schema import Int64, InvalidMessageError, JsonDecoder
 from filbertreach.timing import Clock
 
 IDLE_TIMEOUT_SECONDS = 5.0
@@ -41,11 +42,12 @@
 
 
 class _VersionsBody(msgspec.Struct):
-    versions: list[int]
+    versions: list[Int64]
 
 
 _HEALTH_DECODER = JsonDecoder(message=_HealthBody)
 _VERSIONS_DECODER = JsonDecoder(message=_VersionsBody)
+_LOGGER = get_logger(__name__)
 
 
 class _Connection:
@@ -54,6 +56,8 @@
     def __init__(self) -> None:
         self.attempt: Attempt | None = None
         self.wake = anyio.Event()
+        self.opened_at = -math.inf
+        """Clock when its current HTTP connection was created, in seconds."""
 
 
 class LeafLink:
@@ -102,6 +106,7 @@
         self._versions: frozenset[int] | None = None
         self._versions_at = -math.inf
         self._missing_until_by_version: dict[int, float] = {}
+        self._silent_at = -math.inf
         self._closing = False
 
     async def __aenter__(self) -> Self:
@@ -220,6 +225,14 @@
         else:
             self._start_connection(attempt)
 
+    def record_silence(self) -> None:
+        """Records that a request got no response on its connection.
+
+        Connections to a leaf tend to go silent together, so the idle ones are replaced before they
+        carry a request.
+        """
+        self._silent_at = self._clock.now()
+
     def cancel(self, attempt: Attempt) -> None:
         """Asks the leaf to cancel an attempt.
 
@@ -238,34 +251,40 @@
 
     async def _run_connection(self, connection: _Connection) -> None:
         LEAF_CONNECTIONS.inc()
-        http = new_connection(self.leaf)
+        http = self._new_http(connection)
         try:
             if connection.attempt is None:
-                http = await self._warm_up(http)
+                http = await self._warm_up(connection, http)
             while await self._next_attempt(connection):
                 attempt = connection.attempt
                 assert attempt is not None
                 connection.attempt = None
-                if http.has_expired():
+                if http.has_expired() or connection.opened_at < self._silent_at:
                     # The leaf closed the idle connection, and a request on it could be lost.
                     await _close(http)
-                    http = new_connection(self.leaf)
+                    http = self._new_http(connection)
                 if not await self._serve(http, attempt):
                     CONNECTIONS_REPLACED.inc()
                     await _close(http)
-                    http = new_connection(self.leaf)
+                    http = self._new_http(connection)
         finally:
             self._connection_count -= 1
             LEAF_CONNECTIONS.dec()
             with anyio.CancelScope(shield=True):
                 await _close(http)
 
-    async def _warm_up(self, http: httpcore.AsyncHTTPConnection) -> httpcore.AsyncHTTPConnection:
+    def _new_http(self, connection: _Connection) -> httpcore.AsyncHTTPConnection:
+        connection.opened_at = self._clock.now()
+        return new_connection(self.leaf)
+
+    async def _warm_up(
+        self, connection: _Connection, http: httpcore.AsyncHTTPConnection
+    ) -> httpcore.AsyncHTTPConnection:
         with anyio.move_on_after(_CONNECT_TIMEOUT_SECONDS), contextlib.suppress(LeafError):
             await self._get(http, "/v1/health")
             return http
         await _close(http)
-        return new_connection(self.leaf)
+        return self._new_http(connection)
 
     async def _next_attempt(self, connection: _Connection) -> bool:
         """Waits for an attempt; returns False if the connection is no longer needed."""
@@ -309,11 +328,13 @@
         health = await self._get(http, "/v1/health")
         versions = await self._get(http, "/v1/versions")
         now = self._clock.now()
-        with contextlib.suppress(InvalidMessageError):
+        try:
             self._versions = frozenset(_VERSIONS_DECODER.decode(versions.body).versions)
             self._versions_at = now
-        with contextlib.suppress(InvalidMessageError):
             state = _HEALTH_DECODER.decode(health.body).state
+        except InvalidMessageError as error:
+            _LOGGER.warning("health check unreadable", leaf=self.leaf.id, error=str(error))
+        else:
             self.record_leaving("health", now, leaving=state == "draining")
             if state == "starting":
                 self.tracker.record_reported_state("starting", now)
