--- a/filbertreach/transport/tests/test_transport.py
+++ b/filbertreach/transport/tests/test_transport.py
@@ -241,7 +241,8 @@
 
 @pytest.mark.parametrize("address", ["127.0.0.1:99999", "127.0.0.1:0", "nowhere", ""])
 def test_an_unusable_address_ends_nothing(address):
-    # Guards against the end of a process by one record of a host with a port out of range.
+    # Guards against the end of a process by one record of a host with an address that can't be
+    # dialled, and against messages that wait for ever for one with a port out of range.
     async def run():
         async with _pair() as (near, far, _relay, _near_events, far_events):
             near.keep_connected({address, far.address})
