--- a/filbertreach/gateway/_service_call.py
+++ b/filbertreach/gateway/_service_call.py
@@ -375,5 +375,7 @@
         if not self.done:
             sent = self.may_have_been_sent
             self.state = CallState.FAILED if sent else CallState.NOT_RUN
+            if not self.tried_leaf_ids and not self.fault_reasons:
+                self.fault_reasons.append("no room")
         for attempt in list(self._attempt_by_exchange.values()):
             attempt.connection.abandon(linger_seconds=0.0 if cancel else _LINGER_SECONDS)
--- a/filbertreach/gateway/tests/test_query.py
+++ b/filbertreach/gateway/tests/test_query.py
@@ -391,6 +391,17 @@
     _run({"a": ["limited"]}, test)
 
 
+def test_a_request_that_found_no_free_leaf_says_so() -> None:
+    # Guards against log lines that can't tell leaves without room from a service without leaves.
+    async def test(fleet: _Fleet) -> None:
+        fleet.pools[0].handle_by_id["a-0"].max_connections = 0
+        result = await _query(fleet, scatter=False, timeout=0.2).run()
+        assert (result.answer.status, result.outcome) == (503, "not_run")
+        assert result.calls[0].fault_reasons == ["no room"]
+
+    _run({"a": ["ok"]}, test)
+
+
 def test_attempts_are_never_exceeded() -> None:
     async def test(fleet: _Fleet) -> None:
         result = await _query(fleet, scatter=False, attempts=2).run()
