--- a/filbertreach/gateway/_leaf_handle.py
+++ b/filbertreach/gateway/_leaf_handle.py
@@ -126,7 +126,7 @@
     def on_idle(self, connection: LeafConnection) -> None:
         """Adds a connection to the idle ones, or closes it if the leaf may not be used any more."""
         self._idle.append(connection)
-        if self._clock.now() >= self.usable_until:
+        if self.usable_until < math.inf and self._clock.now() >= self.usable_until:
             connection.close()
 
     def on_unusable(self, connection: LeafConnection) -> None:
--- a/filbertreach/platform/_messages.py
+++ b/filbertreach/platform/_messages.py
@@ -4,7 +4,6 @@
 from typing import NamedTuple
 
 from filbertreach.observability import get_logger
-from filbertreach.schema import parse_count
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -25,6 +24,8 @@
 
 _RECORD_BYTES = 16
 """Size of one record in the response body of a shard."""
+_LOAD_REPORT = re.compile(rb",".join([rb"\s*(\d{1,18})\s*"] * 3))
+"""Three counts, each with so few digits that it fits into 64 bits."""
 _DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
 _MAX_REQUEST_LIMIT = 1e9
 """Largest limit that a leaf may name, in requests per second."""
@@ -223,12 +224,12 @@
 def _parse_load(value: bytes | None) -> LeafLoad | None:
     if value is None:
         return None
-    counts = [parse_count(part) for part in value.split(b",")]
-    match counts:
-        case [int(running), int(queued), int(slots)]:
-            return LeafLoad(running, queued, slots)
-    _log_unreadable(_LOAD, value)
-    return None
+    match = _LOAD_REPORT.fullmatch(value)
+    if match is None:
+        _log_unreadable(_LOAD, value)
+        return None
+    running, queued, slots = match.groups()
+    return LeafLoad(int(running), int(queued), int(slots))
 
 
 def _parse_request_limit(value: bytes | None) -> float | None:
