--- a/filbertreach/dispatch/_leaf_link.py
+++ b/filbertreach/dispatch/_leaf_link.py
@@ -331,9 +331,13 @@
         try:
             self._versions = frozenset(_VERSIONS_DECODER.decode(versions.body).versions)
             self._versions_at = now
+        except InvalidMessageError as error:
+            _LOGGER.warning("versions unreadable", leaf=self.leaf.id, error=str(error))
+        # The state holds also if the versions can't be read: the leaf may be draining.
+        try:
             state = _HEALTH_DECODER.decode(health.body).state
         except InvalidMessageError as error:
-            _LOGGER.warning("health check unreadable", leaf=self.leaf.id, error=str(error))
+            _LOGGER.warning("health unreadable", leaf=self.leaf.id, error=str(error))
         else:
             self.record_leaving("health", now, leaving=state == "draining")
             if state == "starting":
