--- a/filbertreach/gateway/_leaf_connection.py
+++ b/filbertreach/gateway/_leaf_connection.py
@@ -15,6 +15,7 @@
 )
 from filbertreach.observability import get_logger
 from filbertreach.platform import read_leaf_answer
+from filbertreach.receive_limits import READ_BUFFER, RECEIVE_BUFFER_OPTION, MessageCost
 from filbertreach.schema import parse_address
 from filbertreach.timing import Clock
 
@@ -26,6 +27,8 @@
 the leaf may close it at the same moment."""
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 _MAX_IDLE_SECONDS = 30.0
+_MAX_DISCARDED_RESPONSES = 8
+"""Responses to other requests that may arrive before the response to a request."""
 
 _LOGGER = get_logger(__name__)
 
@@ -43,7 +46,7 @@
         """Called when the connection is closed."""
 
 
-class LeafConnection(asyncio.Protocol):
+class LeafConnection(asyncio.BufferedProtocol):
     """Carries one exchange at a time.
 
     A task opens the connection, waits until it is closed and completes its exchange. Bytes are
@@ -65,7 +68,9 @@
         self.exchange: Exchange | None = None
         self._owner = owner
         self._clock = clock
-        self._parser = ResponseParser()
+        self._parser = ResponseParser(sender=leaf.id, on_evicted=self._on_evicted)
+        self._cost = MessageCost()
+        self._discarded_count = 0
         self._scope = anyio.CancelScope()
         self._transport: asyncio.Transport | None = None
         self._closed = asyncio.Event()
@@ -141,6 +146,7 @@
             return
         self._fault_kind = FaultKind.CONNECTION_LOST
         self._transport = transport
+        transport.get_extra_info("socket").setsockopt(*RECEIVE_BUFFER_OPTION)
         try:
             if self.exchange is not None and self.exchange.abandoned:
                 self._finish_unsent(self.exchange)
@@ -158,29 +164,62 @@
         if not exchange.may_send():
             self._finish_unsent(exchange)
             return
-        self._parser.head_only = exchange.method == "HEAD"
+        self._parser.begin_exchange(head_only=exchange.method == "HEAD")
+        self._cost.begin_message()
+        self._discarded_count = 0
         exchange.sent = True
         transport.write(exchange.encode())
 
-    # Callbacks of asyncio.Protocol.
+    # Callbacks of asyncio.BufferedProtocol.
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next read."""
+        return READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Processes bytes from the leaf."""
         if not self._is_reusable:
             # The connection is about to be closed, so these bytes belong to no request.
             return
         try:
-            responses = self._parser.feed(data)
-        except InvalidResponseError:
+            responses = self._parser.feed(READ_BUFFER[:nbytes])
+        except InvalidResponseError as error:
             self._handle_responses(self._parser.take())
-            self._fault_kind = FaultKind.INVALID
-            self._mark_closed()
+            self._reject(str(error))
             return
         self._handle_responses(responses)
         # After unsolicited bytes, what follows can't be told apart from a response.
-        unsolicited = self.exchange is None and self._parser.in_message
+        unsolicited = self.exchange is None and (self._parser.in_message or not responses)
         if unsolicited or not self._is_reusable:
             self._mark_closed()
+        elif self._cost.is_expensive(self._parser.events) and self.exchange is not None:
+            self._wait_for_turn()
+
+    def _wait_for_turn(self) -> None:
+        """Reads nothing until responses that are expensive to parse may take processor time."""
+        assert self._transport is not None
+        self._transport.pause_reading()
+        self._cost.wait(self, events=self._parser.events)
+
+    def on_turn(self) -> None:
+        """Reads on."""
+        if self._is_reusable and self._transport is not None:
+            self._transport.resume_reading()
+
+    def on_turn_refused(self) -> None:
+        """Closes the connection, because the responses of too many leaves are expensive."""
+        if self._is_reusable:
+            self._reject("too many responses are expensive to parse")
+
+    def _on_evicted(self) -> None:
+        if self._is_reusable:
+            self._reject("incomplete responses exceed the memory for them")
+
+    def _reject(self, reason: str) -> None:
+        """Closes the connection, whose response is no valid one or can't be kept."""
+        _LOGGER.warning("response of leaf rejected", leaf=self.leaf.id, reason=reason)
+        self._fault_kind = FaultKind.INVALID
+        self._mark_closed()
 
     def eof_received(self) -> None:
         """Processes the end of the stream, which also ends a response without a length."""
@@ -210,6 +249,9 @@
             status=response.status, headers=response.headers, body=response.body
         )
         if answer.request_id != exchange.request_id:
+            self._discarded_count += 1
+            if self._discarded_count > _MAX_DISCARDED_RESPONSES:
+                self._reject("too many responses to other requests")
             return
         assert self._transport is not None
         if self._transport.get_write_buffer_size():
--- a/filbertreach/gateway/_response_parser.py
+++ b/filbertreach/gateway/_response_parser.py
@@ -1,10 +1,11 @@
 """Incremental parser that splits the bytes of a leaf connection into HTTP responses."""
 
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import Any, NamedTuple
 
 import httptools
 
-from filbertreach.gateway._buffer_budget import PROCESS_BUFFERS, BufferBudget
+from filbertreach.receive_limits import MemoryBudget
 
 
 class RawResponse(NamedTuple):
@@ -27,13 +28,21 @@
 _MAX_BODY_BYTES = 8 * 1024 * 1024
 _MAX_OVERHEAD_BYTES = 64 * 1024
 """Bytes of a response other than its body: status line, headers, chunk framing and trailers."""
-_MAX_OVERHEAD_PER_BODY_BYTE = 8
-"""Additional overhead for each byte of the body; a chunk of one byte has five bytes of framing."""
+_MAX_OVERHEAD_PER_BODY_BYTE = 1
+"""Additional overhead for each byte of the body. A chunk of one byte has five bytes of framing, so
+only responses up to some kilobytes may consist of such chunks."""
 _MAX_HEADERS = 256
-"""Headers and trailers of a response; an object in memory is larger than its bytes on the wire."""
+"""Headers and trailers of a response."""
+_HEADER_BYTES = 200
+"""Memory that the objects of a header take beside its bytes."""
 _MAX_INTERIM_RESPONSES = 16
 """Interim responses (1xx) before a final one."""
 _MAX_STATUS = 599
+_MAX_HELD_BYTES = 32 * 1024 * 1024
+"""Bytes of all incomplete responses; the smallest hosts have 200 MB for the whole process."""
+
+RESPONSE_MEMORY = MemoryBudget(max_bytes=_MAX_HELD_BYTES)
+"""Budget of the connections to leaves of this process."""
 
 
 class ResponseParser:
@@ -43,33 +52,59 @@
     orderly way, but not when it is reset. httptools does not report this end, so `end` does.
     """
 
-    def __init__(self, *, buffers: BufferBudget = PROCESS_BUFFERS) -> None:
+    def __init__(
+        self,
+        *,
+        sender: str = "",
+        on_evicted: Callable[[], None] = lambda: None,
+        memory: MemoryBudget = RESPONSE_MEMORY,
+    ) -> None:
         """Creates a parser in the state before the first response.
 
         Args:
-            buffers: Budget that the bytes of an incomplete response use.
+            sender: Name of the leaf in the budget.
+            on_evicted: Called when an incomplete response was dropped for lack of memory.
+            memory: Budget that the bytes of an incomplete response use.
         """
-        self._parser = httptools.HttpResponseParser(self)
-        self._buffers = buffers
-        self._held_bytes = 0
+        self.on_evicted = on_evicted
+        """Called when an incomplete response was dropped for lack of memory."""
+        self.head_only = False
+        """Whether the next response has no body whatever its headers say, as after HEAD."""
+        self._parser: Any = httptools.HttpResponseParser(self)
+        self._sender = sender
+        self._memory = memory
         self._responses: list[RawResponse] = []
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
         self._overhead_bytes = 0
         self._body_bytes_in_feed = 0
         self._interim_count = 0
+        self._events = 0
         self._in_body = False
         self._in_message = False
+        self._is_held = False
         self._has_framing = False
-        self.head_only = False
-        """Whether the next response has no body whatever its headers say, as after HEAD."""
 
     @property
     def in_message(self) -> bool:
         """Whether a response has begun and is not yet complete."""
         return self._in_message
 
-    def feed(self, data: bytes) -> list[RawResponse]:
+    @property
+    def events(self) -> int:
+        """Headers and parts of bodies since `begin_exchange`, which make most of the cost."""
+        return self._events
+
+    def begin_exchange(self, *, head_only: bool) -> None:
+        """Prepares for the response to a request.
+
+        Args:
+            head_only: Whether the response has no body whatever its headers say, as after HEAD.
+        """
+        self.head_only = head_only
+        self._events = 0
+
+    def feed(self, data: bytes | memoryview) -> list[RawResponse]:
         """Parses bytes as they arrive.
 
         Args:
@@ -87,19 +122,21 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             raise InvalidResponseError(str(error)) from error
-        if self._in_message:
+        if self._in_message or not self._responses:
             # What precedes this response in `data` is counted too, but not the bodies there.
             self._overhead_bytes += len(data) - self._body_bytes_in_feed
             self._check_size()
-        else:
-            self._hold(0)
+        elif self._is_held:
+            self._release()
         return self.take()
 
     def close(self) -> None:
-        """Releases the bytes of an incomplete response; to be called with the connection closed."""
+        """Releases all memory; to be called with the connection closed."""
+        # The parser refers to this object, and keeps the header that it has begun.
+        self._parser = None
         self._body = bytearray()
         self._headers = []
-        self._hold(0)
+        self._release()
 
     def _check_size(self) -> None:
         body_bytes = len(self._body)
@@ -110,12 +147,14 @@
             raise InvalidResponseError(
                 f"head, framing and trailers of a response exceed {max_overhead_bytes} bytes"
             )
-        if not self._hold(body_bytes + self._overhead_bytes):
+        self._is_held = True
+        held_bytes = body_bytes + self._overhead_bytes + _HEADER_BYTES * len(self._headers)
+        if not self._memory.resize(self, sender=self._sender, byte_count=held_bytes):
             raise InvalidResponseError("incomplete responses exceed the memory for them")
 
-    def _hold(self, new_bytes: int) -> bool:
-        old_bytes, self._held_bytes = self._held_bytes, new_bytes
-        return self._buffers.resize(old_bytes=old_bytes, new_bytes=new_bytes)
+    def _release(self) -> None:
+        self._is_held = False
+        self._memory.release(self)
 
     def take(self) -> list[RawResponse]:
         """Returns the complete responses that have not been returned yet."""
@@ -145,6 +184,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header."""
+        self._events += 1
         lower = name.lower()
         if lower in (b"content-length", b"transfer-encoding"):
             self._has_framing = True
@@ -160,6 +200,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Stores a chunk of the body, unless the body is already too large."""
+        self._events += 1
         self._body_bytes_in_feed += len(data)
         if len(self._body) <= _MAX_BODY_BYTES:
             self._body += data
@@ -179,6 +220,7 @@
         self._in_message = False
         self._in_body = False
         self._interim_count = 0
+        self._overhead_bytes = 0
         status = self._parser.get_status_code()
         if status > _MAX_STATUS:
             raise InvalidResponseError(f"status {status} does not exist")
--- /dev/null
+++ b/filbertreach/receive_limits/_reads.py
@@ -0,0 +1,40 @@
+"""Small reads, which bound how long the bytes of one read keep the event loop busy."""
+
+import asyncio
+import socket
+
+_READ_BYTES = 4096
+_RECEIVE_BUFFER_BYTES = 128 * 1024
+
+READ_BUFFER = memoryview(bytearray(_READ_BYTES))
+"""Buffer of all reads of this process; each protocol takes its bytes out before the next read."""
+RECEIVE_BUFFER_OPTION = (socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
+"""Socket option that bounds what a sender from which nothing is read keeps in the system."""
+
+
+class SmallReads(asyncio.BufferedProtocol):
+    """Passes what is received to another protocol in small parts.
+
+    An event loop passes up to 256 KiB at once to a plain protocol.
+    """
+
+    def __init__(self, *, protocol: asyncio.Protocol) -> None:
+        """Creates a protocol for a connection that is about to be made.
+
+        Args:
+            protocol: Receives everything.
+        """
+        self._protocol = protocol
+        self.connection_made = protocol.connection_made  # type: ignore[method-assign]
+        self.connection_lost = protocol.connection_lost  # type: ignore[method-assign]
+        self.eof_received = protocol.eof_received  # type: ignore[method-assign]
+        self.pause_writing = protocol.pause_writing  # type: ignore[method-assign]
+        self.resume_writing = protocol.resume_writing  # type: ignore[method-assign]
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next read."""
+        return READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Passes on what was read."""
+        self._protocol.data_received(bytes(READ_BUFFER[:nbytes]))
--- a/filbertreach_standins/deployment/_leaf.py
+++ b/filbertreach_standins/deployment/_leaf.py
@@ -9,6 +9,7 @@
 from filbertreach_standins._faults import Fault, non_negative_number, one_of
 from filbertreach_standins._http import Receive, Send, read_body, send_bytes, send_json
 from filbertreach_standins._server import Connection, StandIn
+from filbertreach_standins.endless import ENDLESS_RESPONSES
 
 DEPLOYMENT_LEAF_FAULTS = (
     Fault("work_ms", 5.0, non_negative_number, "time that a request takes"),
@@ -23,13 +24,12 @@
     Fault(
         "endless",
         False,
-        one_of(False, "head", "body"),
+        one_of(False, *ENDLESS_RESPONSES),
         "part of the answer that is sent as fast as the connection takes it, until it closes",
     ),
 )
 """Faults in addition to `CONNECTION_FAULTS`."""
-_FILLER_BYTES = 16_384
-"""Size of a header or a chunk that is sent again and again."""
+_WRITTEN_BYTES = 16_384
 _MAX_UNSENT_BYTES = 1_000_000
 
 
@@ -101,14 +101,11 @@
 
 
 async def _send_without_end(connection: Connection, part: str) -> None:
-    """Sends a head or a body until the connection is closed."""
+    """Sends an answer until the connection is closed."""
     transport = connection.transport
-    if part == "head":
-        begin, repeated = b"HTTP/1.1 200 OK\r\n", b"x-filler: " + b"a" * _FILLER_BYTES + b"\r\n"
-    else:
-        begin = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
-        repeated = b"%x\r\n" % _FILLER_BYTES + b"a" * _FILLER_BYTES + b"\r\n"
-    transport.write(begin)
+    start, unit = ENDLESS_RESPONSES[part]
+    repeated = unit * max(1, _WRITTEN_BYTES // len(unit))
+    transport.write(start)
     while not transport.is_closing():
         if transport.get_write_buffer_size() < _MAX_UNSENT_BYTES:
             transport.write(repeated)
--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -190,7 +190,18 @@
     assert not executed & refused
 
 
-@pytest.mark.parametrize("part", ["head", "body"])
+@pytest.mark.parametrize(
+    "part",
+    [
+        "long header lines",
+        "chunks",
+        "chunks of one byte",
+        "one header name",
+        "interim responses",
+        "responses",
+        "line ends",
+    ],
+)
 def test_answers_without_end_harm_no_other_query(deployment: Deployment, part: str) -> None:
     """Guards against leaves whose answers fill the memory of a gateway or keep it busy."""
     gateway = deployment.gateways[0]
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -24,7 +24,6 @@
 from filbertreach.document import Leaf, Pool, Route, parse_document
 from filbertreach.entry._problems import ProblemError
 from filbertreach.entry._request import parse_body, parse_headers
-from filbertreach.gateway._buffer_budget import BufferBudget
 from filbertreach.gateway._change_log import decode_change
 from filbertreach.gateway._directory import Directory
 from filbertreach.gateway._leaf_handle import Location
@@ -47,6 +46,7 @@
     read_leaf_answer,
     read_request_head,
 )
+from filbertreach.receive_limits import MemoryBudget
 from filbertreach.schema import KnownHost, parse_address
 from filbertreach.settings import load_text
 from filbertreach.timing import FakeClock
@@ -350,8 +350,8 @@
 @_fuzz
 @given(data=_mutated_bytes(_RESPONSE))
 def test_responses_of_leaves(part_bytes: int, data: bytes) -> None:
-    buffers = BufferBudget()
-    parser = ResponseParser(buffers=buffers)
+    memory = MemoryBudget(max_bytes=32 * 1024 * 1024)
+    parser = ResponseParser(memory=memory)
     try:
         responses = []
         for begin in range(0, len(data), part_bytes):
@@ -362,7 +362,7 @@
     parser.close()
     for response in responses:
         read_leaf_answer(status=response.status, headers=response.headers, body=response.body)
-    assert buffers.held_bytes == 0
+    assert memory.held_bytes == 0
 
 
 @_fuzz
