--- a/filbertreach/dispatch/_exchange.py
+++ b/filbertreach/dispatch/_exchange.py
@@ -17,9 +17,14 @@
     VersionUnavailableError,
 )
 from filbertreach.document import Leaf
+from filbertreach.receive_limits import LimitedBackend, MemoryBudget, read_body
 from filbertreach.schema import Call, Int64, InvalidMessageError, JsonDecoder, parse_count
 
 _MAX_BODY_BYTES = 8 * 1024 * 1024
+_MAX_RESPONSE_BYTES = 2 * _MAX_BODY_BYTES
+"""Bytes of a response with its head and framing."""
+_MAX_HELD_BYTES = 32 * 1024 * 1024
+"""Bytes of the incomplete bodies of all leaves."""
 _STATUS_OK = 200
 _ERROR_BY_STATUS: dict[int, type[LeafError]] = {
     409: VersionUnavailableError,
@@ -57,6 +62,8 @@
     """Body."""
 
 
+_RESPONSE_MEMORY = MemoryBudget(max_bytes=_MAX_HELD_BYTES)
+_NETWORK = LimitedBackend(max_response_bytes=_MAX_RESPONSE_BYTES)
 _BODY_DECODER = JsonDecoder(message=SearchBody, has_open_values=True)
 _BODY_ENCODER = msgspec.json.Encoder()
 
@@ -69,7 +76,9 @@
     """
     host, port = leaf.address.rsplit(":", 1)
     origin = httpcore.Origin(scheme=b"http", host=host.encode(), port=int(port))
-    return httpcore.AsyncHTTPConnection(origin=origin, keepalive_expiry=None)
+    return httpcore.AsyncHTTPConnection(
+        origin=origin, keepalive_expiry=None, network_backend=_NETWORK
+    )
 
 
 async def request(
@@ -113,7 +122,9 @@
     try:
         response = await connection.handle_async_request(outgoing)
         try:
-            body = await _read_body(response)
+            body = await read_body(
+                response, max_bytes=_MAX_BODY_BYTES, memory=_RESPONSE_MEMORY, sender=leaf.id
+            )
         finally:
             await response.aclose()
     except (
@@ -187,17 +198,6 @@
     return _checked_body(leaf, call, call_id, response.body), response.report
 
 
-async def _read_body(response: httpcore.Response) -> bytes:
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in response.aiter_stream():
-        size += len(chunk)
-        if size > _MAX_BODY_BYTES:
-            raise httpcore.RemoteProtocolError(f"response body exceeds {_MAX_BODY_BYTES} bytes")
-        chunks.append(chunk)
-    return b"".join(chunks)
-
-
 def _report(header_by_name: dict[bytes, bytes]) -> LeafReport:
     state = header_by_name.get(b"x-leaf-state", b"").decode("latin-1")
     in_flight, _, queued = header_by_name.get(b"x-load", b"").partition(b",")
--- a/filbertreach/platform/_channel.py
+++ b/filbertreach/platform/_channel.py
@@ -10,8 +10,20 @@
 import anyio
 import httpcore
 
-_MAX_BODY_BYTES = 64_000_000
-"""Larger response bodies are rejected, so that a faulty service can't exhaust the memory."""
+from filbertreach.receive_limits import (
+    BodyTooLargeError,
+    LimitedBackend,
+    MemoryBudget,
+    read_body,
+)
+
+_MAX_BODY_BYTES = 8 * 1024 * 1024
+"""Larger response bodies are rejected. A page of the store has at most some megabytes, and the
+objects decoded from a body take several times its bytes."""
+_MAX_RESPONSE_BYTES = 2 * _MAX_BODY_BYTES
+"""Bytes of a response with its head and framing."""
+_MAX_HELD_BYTES = 16 * 1024 * 1024
+"""Bytes of the incomplete bodies of all services."""
 _MAX_CONNECTIONS = 32
 _DEFAULT_RETRY_SECONDS = 1.0
 """Delay after a refusal without a valid Retry-After header."""
@@ -20,6 +32,9 @@
 _MAX_RETRY_SECONDS = 30.0
 """Longest delay after a refusal. A faulty service must not keep a host from calling it for good."""
 
+_RESPONSE_MEMORY = MemoryBudget(max_bytes=_MAX_HELD_BYTES)
+_NETWORK = LimitedBackend(max_response_bytes=_MAX_RESPONSE_BYTES)
+
 
 class HttpResponse(NamedTuple):
     """A complete HTTP response."""
@@ -57,11 +72,17 @@
         self.sent = sent
 
 
+class ResponseTooLargeError(ExchangeError):
+    """A response whose body is larger than accepted."""
+
+
 class _CountedPool:
     """A connection pool and the number of requests that use it."""
 
     def __init__(self) -> None:
-        self.pool = httpcore.AsyncConnectionPool(max_connections=_MAX_CONNECTIONS)
+        self.pool = httpcore.AsyncConnectionPool(
+            max_connections=_MAX_CONNECTIONS, network_backend=_NETWORK
+        )
         self.request_count = 0
 
 
@@ -125,6 +146,7 @@
             The response, whatever its status.
 
         Raises:
+            ResponseTooLargeError: The body of the response is too large.
             ExchangeError: There was no complete response in time.
         """
         sent = False
@@ -146,7 +168,12 @@
                         content=body,
                         extensions={"trace": trace},
                     ) as response:
-                        content = await _read_body(response)
+                        content = await read_body(
+                            response,
+                            max_bytes=_MAX_BODY_BYTES,
+                            memory=_RESPONSE_MEMORY,
+                            sender=self._base_url,
+                        )
             except TimeoutError:
                 # Established connections can stop responding together while new ones work, so the
                 # idle connections of this pool are not used again.
@@ -154,6 +181,8 @@
                     self._current_pool = _CountedPool()
                 message = f"{method} {target}: no answer within {timeout:g} s"
                 raise ExchangeError(message, sent=sent) from None
+            except BodyTooLargeError as e:
+                raise ResponseTooLargeError(f"{method} {target}: {e}", sent=sent) from e
             except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as e:
                 raise ExchangeError(f"{method} {target}: {e!r}", sent=sent) from e
         names = {name.lower(): value for name, value in response.headers}
@@ -187,13 +216,3 @@
     ) -> None:
         """Closes the connections."""
         await self._channel.__aexit__(kind, error, trace)
-
-
-async def _read_body(response: httpcore.Response) -> bytes:
-    content = bytearray()
-    async for part in response.aiter_stream():
-        content += part
-        if len(content) > _MAX_BODY_BYTES:
-            message = f"the answer has more than {_MAX_BODY_BYTES} bytes"
-            raise httpcore.RemoteProtocolError(message)
-    return bytes(content)
--- a/filbertreach/platform/_deployment_store.py
+++ b/filbertreach/platform/_deployment_store.py
@@ -8,7 +8,12 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from filbertreach.platform._channel import ChannelClient, ExchangeError, HttpResponse
+from filbertreach.platform._channel import (
+    ChannelClient,
+    ExchangeError,
+    HttpResponse,
+    ResponseTooLargeError,
+)
 from filbertreach.platform._errors import (
     HistoryLostError,
     PlatformError,
@@ -160,6 +165,11 @@
             response = await self._channel.exchange(
                 method="GET", target=target, extra_seconds=extra_seconds
             )
+        except ResponseTooLargeError as error:
+            if kind != "watch":
+                return Failure(PlatformUnavailableError(str(error)))
+            # A listing contains only the last of several changes of a key, and has pages.
+            return Failure(HistoryLostError(str(error)))
         except ExchangeError as error:
             return Failure(PlatformUnavailableError(str(error)))
         if response.status != 200:
--- /dev/null
+++ b/filbertreach/receive_limits/tests/test_http_clients.py
@@ -0,0 +1,84 @@
+"""Clients over httpcore whose servers send bytes without end."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pytest
+
+from filbertreach.dispatch._errors import LeafError
+from filbertreach.dispatch._exchange import new_connection, request
+from filbertreach.document import Leaf
+from filbertreach.platform import ExchangeError, HttpChannel
+from filbertreach_standins import StandInProcess
+from filbertreach_standins.endless import ENDLESS_RESPONSES
+from filbertreach_standins.loop_watch import LoopWatch
+
+_CALLS = 16
+_TIMEOUT_SECONDS = 1.0
+_LATE_SECONDS = 0.5
+"""Time after its timeout within which a request must be answered."""
+
+
+async def _call_leaf(address: str) -> None:
+    leaf = Leaf("a", address, "minho", "minho-1")
+    connection = new_connection(leaf)
+    try:
+        with anyio.move_on_after(_TIMEOUT_SECONDS):
+            with pytest.raises(LeafError):
+                await request(connection=connection, leaf=leaf, method="GET", path="/", headers=[])
+    finally:
+        with anyio.CancelScope(shield=True):
+            await connection.aclose()
+
+
+async def _call_service(address: str) -> None:
+    url = f"http://{address}"
+    async with HttpChannel(base_url=url, timeout_seconds=_TIMEOUT_SECONDS) as channel:
+        with pytest.raises(ExchangeError):
+            await channel.exchange(method="GET", target="/")
+
+
+@pytest.mark.parametrize("kind", sorted(set(ENDLESS_RESPONSES) - {"responses", "line ends"}))
+@pytest.mark.parametrize("call", [_call_leaf, _call_service])
+def test_a_response_without_end_does_not_block_the_event_loop(
+    call: Callable[[str], Awaitable[None]], kind: str
+) -> None:
+    # Guards against a server whose bytes keep the process from answering everybody else.
+    async def test(address: str) -> None:
+        with LoopWatch() as watch:
+            async with anyio.create_task_group() as group:
+                for _ in range(_CALLS):
+                    group.start_soon(call, address)
+        assert watch.longest_seconds < _LATE_SECONDS
+
+    with StandInProcess(module="endless", arguments=["--kind", kind]) as server:
+        anyio.run(test, server.control.address)
+
+
+@pytest.mark.parametrize("kind", ["responses", "line ends"])
+@pytest.mark.parametrize("call", ["leaf", "service"])
+def test_bytes_behind_a_response_are_not_taken_for_the_next_one(call: str, kind: str) -> None:
+    # Guards against bytes that belong to no request and are parsed for ever.
+    async def test(address: str) -> None:
+        with LoopWatch() as watch:
+            if call == "service":
+                url = f"http://{address}"
+                async with HttpChannel(base_url=url, timeout_seconds=1.0) as channel:
+                    for _ in range(20):
+                        response = await channel.exchange(method="GET", target="/")
+                        assert response.body == b"ok"
+                        await anyio.sleep(0.01)
+            else:
+                leaf = Leaf("a", address, "minho", "minho-1")
+                connection = new_connection(leaf)
+                response = await request(
+                    connection=connection, leaf=leaf, method="GET", path="/", headers=[]
+                )
+                assert response.body == b"ok"
+                await anyio.sleep(0.3)
+                assert connection.has_expired()
+                await connection.aclose()
+        assert watch.longest_seconds < _LATE_SECONDS
+
+    with StandInProcess(module="endless", arguments=["--kind", kind]) as server:
+        anyio.run(test, server.control.address)
