--- a/filbertreach/entry/_application.py
+++ b/filbertreach/entry/_application.py
@@ -10,7 +10,16 @@
 from filbertreach.entry._metrics import COVERAGE, IN_TARGET, LACKING, QUERY_SECONDS
 from filbertreach.entry._problems import Problem, ProblemError
 from filbertreach.entry._request import Query, check_query, parse_body, parse_headers
-from filbertreach.observability import Receive, Scope, Send, Span, get_logger
+from filbertreach.observability import (
+    ClientDisconnectedError,
+    Receive,
+    RequestTooLargeError,
+    Scope,
+    Send,
+    Span,
+    get_logger,
+    read_request_body,
+)
 
 PROBLEM_TYPE_PREFIX = "https://filbertreach.invalid/problems/"
 """Prefix of problem types; its host name is reserved (RFC 6761) and never resolves."""
@@ -19,10 +28,6 @@
 _LOGGER = get_logger(__name__)
 
 
-class CallerDisconnectedError(Exception):
-    """The caller closed the connection, so no answer is needed."""
-
-
 class QueryApplication:
     """Serves `POST /v1/query`."""
 
@@ -47,7 +52,7 @@
             result = await self._run(query, outcome, receive)
             status, body = 200, self._answer(query, result, outcome)
             headers = [(b"content-type", b"application/json")]
-        except CallerDisconnectedError:
+        except ClientDisconnectedError:
             return
         except ProblemError as error:
             status, headers, body = self._problem(error.problem, outcome)
@@ -88,21 +93,11 @@
 
     async def _read_body(self, receive: Receive) -> bytes:
         limit = self._process.settings["entry"]["max_body_bytes"]
-        chunks: list[bytes] = []
-        size = 0
-        more = True
-        while more:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                raise CallerDisconnectedError
-            chunk = message.get("body", b"")
-            size += len(chunk)
-            if size > limit:
-                detail = f"the body is over {limit} bytes"
-                raise ProblemError("bad-request", detail, status=413)
-            chunks.append(chunk)
-            more = message.get("more_body", False)
-        return b"".join(chunks)
+        try:
+            return await read_request_body(receive, max_bytes=limit)
+        except RequestTooLargeError:
+            detail = f"the body is over {limit} bytes"
+            raise ProblemError("bad-request", detail, status=413) from None
 
     async def _run(self, query: Query, outcome: QueryOutcome, receive: Receive) -> GatherResult:
         """Runs the query; cancels it if the caller disconnects."""
@@ -127,7 +122,7 @@
         if problem is not None:
             raise problem
         if result is None:
-            raise CallerDisconnectedError
+            raise ClientDisconnectedError
         return self._check_result(query, result)
 
     def _check_result(self, query: Query, result: GatherResult) -> GatherResult:
--- a/filbertreach/gateway/_application.py
+++ b/filbertreach/gateway/_application.py
@@ -4,17 +4,23 @@
 
 import anyio
 
-from filbertreach.observability import Application, Health, Receive, Scope, Send, respond
+from filbertreach.observability import (
+    Application,
+    ClientDisconnectedError,
+    Health,
+    Receive,
+    RequestTooLargeError,
+    Scope,
+    Send,
+    read_request_body,
+    respond,
+)
 from filbertreach.platform import READY_PATH, CallerAnswer, read_request_head, refuse
 
 if TYPE_CHECKING:
     from filbertreach.gateway._process import GatewayProcess
 
 
-class _CallerLeftError(Exception):
-    """The caller disconnected before its request was complete."""
-
-
 def caller_application(process: "GatewayProcess") -> Application:
     """Creates the ASGI application that serves callers.
 
@@ -26,10 +32,10 @@
         if scope["type"] != "http":
             return
         try:
-            body = await _read_body(receive, process.max_body_bytes)
-        except _CallerLeftError:
+            body = await read_request_body(receive, max_bytes=process.max_body_bytes)
+        except ClientDisconnectedError:
             return
-        if body is None:
+        except RequestTooLargeError:
             await _send(send, refuse(413, "the body is too large"), close_connection=True)
             return
         target = scope["raw_path"]
@@ -55,31 +61,6 @@
     return application
 
 
-async def _read_body(receive: Receive, max_bytes: int) -> bytes | None:
-    """Returns the body, or None if it exceeds the limit.
-
-    Args:
-        receive: ASGI receive function.
-        max_bytes: Largest accepted body, in bytes.
-
-    Raises:
-        _CallerLeftError: The caller disconnected before the body was complete.
-    """
-    chunks: list[bytes] = []
-    size = 0
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            raise _CallerLeftError
-        chunk = message.get("body", b"")
-        size += len(chunk)
-        if size > max_bytes:
-            return None
-        chunks.append(chunk)
-        if not message.get("more_body", False):
-            return b"".join(chunks)
-
-
 async def _send(send: Send, answer: CallerAnswer, *, close_connection: bool) -> None:
     headers = [*answer.headers, (b"content-length", str(len(answer.body)).encode())]
     if close_connection:
--- a/filbertreach/observability/__init__.py
+++ b/filbertreach/observability/__init__.py
@@ -21,6 +21,11 @@
 from filbertreach.observability._http_server import HttpServer
 from filbertreach.observability._logs import configure_bounded_logs, configure_logs, get_logger
 from filbertreach.observability._metrics import LATENCY_BUCKETS
+from filbertreach.observability._request_body import (
+    ClientDisconnectedError,
+    RequestTooLargeError,
+    read_request_body,
+)
 from filbertreach.observability._resources import raise_open_files_limit
 
 if TYPE_CHECKING:
@@ -37,6 +42,7 @@
     "DROPPED_LINES",
     "LATENCY_BUCKETS",
     "Application",
+    "ClientDisconnectedError",
     "DaemonOptions",
     "Health",
     "HttpServer",
@@ -44,6 +50,7 @@
     "LogRate",
     "LogWriter",
     "Receive",
+    "RequestTooLargeError",
     "Scope",
     "Send",
     "Span",
@@ -56,6 +63,7 @@
     "new_incarnation",
     "process_main",
     "raise_open_files_limit",
+    "read_request_body",
     "respond",
     "run_daemon",
     "run_main",
--- a/filbertreach/observability/tests/test_http_server.py
+++ b/filbertreach/observability/tests/test_http_server.py
@@ -9,7 +9,21 @@
 import anyio.to_thread
 import pytest
 
-from filbertreach.observability import HttpServer, Receive, Scope, Send, respond
+from filbertreach.observability import (
+    Application,
+    ClientDisconnectedError,
+    HttpServer,
+    Receive,
+    RequestTooLargeError,
+    Scope,
+    Send,
+    read_request_body,
+    respond,
+)
+from filbertreach.receive_limits import MemoryBudget
+from filbertreach_standins import StandInProcess
+from filbertreach_standins.endless import ENDLESS_REQUESTS
+from filbertreach_standins.loop_watch import LoopWatch
 from filbertreach_standins.ports import free_address
 
 _SECONDS = 10.0
@@ -21,10 +35,24 @@
     await respond(send, 200, b"served", "text/plain")
 
 
-async def _with_server(test: Callable[[HttpServer, tuple[str, int]], Awaitable[None]]) -> None:
+async def _reading_application(scope: Scope, receive: Receive, send: Send) -> None:
+    """Reads the body of a request before it answers."""
+    try:
+        await read_request_body(receive, max_bytes=1_000_000)
+    except ClientDisconnectedError:
+        return
+    except RequestTooLargeError:
+        await respond(send, 413, b"too large", "text/plain")
+        return
+    await respond(send, 200, b"served", "text/plain")
+
+
+async def _with_server(
+    test: Callable[[HttpServer, tuple[str, int]], Awaitable[None]], application: Application
+) -> None:
     address = free_address()
     host, port = address.split(":")
-    server = HttpServer(address=address, application=_application, drain_seconds=2.0)
+    server = HttpServer(address=address, application=application, drain_seconds=2.0)
     with anyio.fail_after(_SECONDS):
         async with anyio.create_task_group() as group:
             await group.start(server.run)
@@ -44,8 +72,12 @@
         data += chunk
 
 
-def _run(test: Callable[[HttpServer, tuple[str, int]], Awaitable[None]], use_uvloop: bool) -> None:
-    anyio.run(_with_server, test, backend_options={"use_uvloop": use_uvloop})
+def _run(
+    test: Callable[[HttpServer, tuple[str, int]], Awaitable[None]],
+    use_uvloop: bool,
+    application: Application = _application,
+) -> None:
+    anyio.run(_with_server, test, application, backend_options={"use_uvloop": use_uvloop})
 
 
 _event_loops = pytest.mark.parametrize("use_uvloop", [False, True])
@@ -147,6 +179,86 @@
     _run(test, use_uvloop)
 
 
+_LATE_SECONDS = 0.5
+"""Time after its timeout within which a request must be answered."""
+
+
+@_event_loops
+@pytest.mark.parametrize("kind", ENDLESS_REQUESTS)
+def test_requests_without_end_do_not_block_the_event_loop(kind: str, use_uvloop: bool) -> None:
+    # Guards against clients whose bytes keep the process from answering everybody else.
+    async def test(server: HttpServer, address: tuple[str, int]) -> None:
+        arguments = ["--kind", kind, "--call", f"{address[0]}:{address[1]}", "--connections", "24"]
+        with StandInProcess(module="endless", arguments=arguments), LoopWatch() as watch:
+            for _ in range(5):
+                await anyio.sleep(0.2)
+                with _connect(address) as connection:
+                    connection.sendall(_REQUEST)
+                    await _receive_answer(connection)
+        assert watch.longest_seconds < _LATE_SECONDS
+        server.stop()
+
+    _run(test, use_uvloop, _reading_application)
+
+
+@_event_loops
+def test_incomplete_requests_are_bounded_together(use_uvloop: bool) -> None:
+    # Guards against many clients that each send only as much as one request may have.
+    async def test(server: HttpServer, address: tuple[str, int]) -> None:
+        connections = [_connect(address) for _ in range(80)]
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n"
+        for connection in connections:
+            await anyio.to_thread.run_sync(connection.sendall, head + bytes(60_000))
+        await anyio.sleep(0.2)
+        assert memory.held_bytes <= _MEMORY_BYTES
+        refused = 0
+        for connection in connections:
+            connection.setblocking(False)
+            with contextlib.suppress(BlockingIOError, ConnectionResetError), connection:
+                refused += connection.recv(65536).startswith(b"HTTP/1.1 503 ")
+        assert refused >= 40
+        server.stop()
+
+    memory = MemoryBudget(max_bytes=_MEMORY_BYTES)
+    with mock.patch("filbertreach.observability._http_protocol._REQUEST_MEMORY", memory):
+        _run(test, use_uvloop, _reading_application)
+
+
+@_event_loops
+def test_requests_that_wait_for_a_response_are_bounded(use_uvloop: bool) -> None:
+    # Guards against a client that sends requests without waiting, each of which takes memory.
+    async def test(server: HttpServer, address: tuple[str, int]) -> None:
+        servers.append(server)
+        with _connect(address) as connection:
+            connection.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    connection.send(_REQUEST * 1000)
+            await anyio.sleep(0.5)
+            with LoopWatch() as watch:
+                answer.set()
+                await anyio.sleep(0.5)
+            assert watch.longest_seconds < _LATE_SECONDS
+            assert max(waiting) <= 4096 // len(_REQUEST) + 8
+        server.stop()
+
+    async def application(scope: Scope, receive: Receive, send: Send) -> None:
+        async with anyio.create_task_group() as group:
+            # Watches for a disconnect, as the gateway does; uvicorn reads on for it.
+            group.start_soon(receive)
+            await answer.wait()
+            group.cancel_scope.cancel()
+        connections = servers[0]._server.server_state.connections
+        waiting.extend(len(connection.pipeline) for connection in connections)
+        await respond(send, 200, b"served", "text/plain")
+
+    answer = anyio.Event()
+    servers: list[HttpServer] = []
+    waiting: list[int] = []
+    _run(test, use_uvloop, application)
+
+
+_MEMORY_BYTES = 2_000_000
 _STALL_SECONDS = 0.3
 
 
@@ -169,7 +281,7 @@
         await _receive_answer(idle)
         server.stop()
 
-    with mock.patch("filbertreach.observability._http_server._STALL_SECONDS", _STALL_SECONDS):
+    with mock.patch("filbertreach.observability._http_protocol._STALL_SECONDS", _STALL_SECONDS):
         _run(test, use_uvloop)
 
 
@@ -183,7 +295,7 @@
         await _receive_answer(connection)
         server.stop()
 
-    with mock.patch("filbertreach.observability._http_server._STALL_SECONDS", _STALL_SECONDS):
+    with mock.patch("filbertreach.observability._http_protocol._STALL_SECONDS", _STALL_SECONDS):
         _run(test, use_uvloop)
 
 
@@ -209,8 +321,5 @@
         finally:
             ended.set()
 
-    with (
-        mock.patch("filbertreach.observability._http_server._STALL_SECONDS", _STALL_SECONDS),
-        mock.patch(f"{__name__}._application", application),
-    ):
-        _run(test, use_uvloop)
+    with mock.patch("filbertreach.observability._http_protocol._STALL_SECONDS", _STALL_SECONDS):
+        _run(test, use_uvloop, application)
