--- a/filbertreach/schema/_decoders.py
+++ b/filbertreach/schema/_decoders.py
@@ -10,6 +10,8 @@
 
 _MAX_DEPTH = 64
 """Levels of a message with values of any type."""
+_MAX_VALUES = 500_000
+"""Values of a message. Each takes up to some hundred bytes of memory, and two bytes of JSON."""
 _MIN_INTEGER = -(2**63)
 _MAX_INTEGER = 2**64 - 1
 """Range of the integers of MessagePack."""
@@ -54,6 +56,13 @@
     raise InvalidMessageError(f"values are nested in more than {_MAX_DEPTH} levels")
 
 
+def _separator_count(data: bytes | str) -> int:
+    """Returns an upper bound of the number of values of a JSON text that are not the first one."""
+    if isinstance(data, str):
+        return data.count(",") + data.count("[") + data.count("{")
+    return data.count(b",") + data.count(b"[") + data.count(b"{")
+
+
 class JsonDecoder(Generic[_Message]):
     """Decodes and validates messages in JSON."""
 
@@ -80,6 +89,8 @@
         Raises:
             InvalidMessageError: The text is not JSON, or not a message of this type.
         """
+        if _separator_count(data) > _MAX_VALUES:
+            raise InvalidMessageError(f"more than {_MAX_VALUES} values")
         message = _decode(self._decoder.decode, data)
         if self.has_open_values:
             _check_open_values(message)
--- a/filbertreach/schema/tests/test_decoders.py
+++ b/filbertreach/schema/tests/test_decoders.py
@@ -127,3 +127,13 @@
 def test_open_values_that_a_message_can_carry_are_decoded(data: bytes) -> None:
     decoder = JsonDecoder(message=dict[str, Any], has_open_values=True)
     assert msgspec.msgpack.decode(msgspec.msgpack.encode(decoder.decode(data))) == json.loads(data)
+
+
+@pytest.mark.parametrize("unit", ["{}", "[]", "1", '{"a":1}'])
+@pytest.mark.parametrize("encode", [str.encode, str])
+def test_a_message_of_too_many_values_is_rejected(unit: str, encode: Any) -> None:
+    # Guards against some megabytes of JSON whose objects take more memory than a host has.
+    decoder = JsonDecoder(message=dict[str, object], has_open_values=True)
+    text = '{"a":[' + ",".join([unit] * 1_000_000) + "]}"
+    with pytest.raises(InvalidMessageError, match="values"):
+        decoder.decode(encode(text))
