--- a/filbertreach/gateway/_neighbours.py
+++ b/filbertreach/gateway/_neighbours.py
@@ -47,7 +47,12 @@
 """Time for which a host is not chosen as reader after it did not answer or had only stale data."""
 _MAX_HOSTS = 100_000
 """Hosts that a fleet may have at most; limits are divided by their number."""
-_MAX_MESSAGE_BYTES = 16_000_000
+_MAX_LISTED_HOSTS = 10_000
+"""Hosts whose names and addresses are kept."""
+_MAX_NAME_CHARACTERS = 255
+"""Characters of the name of a host or data centre."""
+_MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+"""Bytes of a decompressed message."""
 _TIMEOUT_SECONDS = 0.7
 """Timeout of an exchange, in addition to the wait that it requests."""
 
@@ -142,10 +147,13 @@
             The reply, which lists the hosts of its data centre unless the digest is up to date.
 
         Raises:
-            ValueError: The address of the host is not ip:port.
+            ValueError: The host is no usable one, or too many are known.
         """
-        parse_address(host["address"])
+        _check_host(host)
         now = self._clock.now()
+        is_known = host["name"] in self._sighting_by_name
+        if not is_known and len(self._live_hosts(now)) > _MAX_LISTED_HOSTS:
+            raise ValueError(f"more than {_MAX_LISTED_HOSTS} hosts are known")
         self._sighting_by_name[host["name"]] = _Sighting(host, now)
         known = self._live_hosts(now)
         local = [other for other in known if other["data_centre"] == host["data_centre"]]
@@ -318,12 +326,26 @@
     """Checks what a seed states.
 
     Raises:
-        ValueError: No fleet has that number of hosts, or an address can't be connected to.
+        ValueError: No fleet has that number of hosts, or one of them is unusable.
     """
     if not 1 <= hosts["total"] <= _MAX_HOSTS:
         raise ValueError(f"{hosts['total']} hosts; expected 1 to {_MAX_HOSTS}")
-    for host in hosts.get("hosts", []):
-        parse_address(host["address"])
+    listed = hosts.get("hosts", [])
+    if len(listed) > _MAX_LISTED_HOSTS:
+        raise ValueError(f"{len(listed)} hosts are listed; expected at most {_MAX_LISTED_HOSTS}")
+    for host in listed:
+        _check_host(host)
+
+
+def _check_host(host: KnownHost) -> None:
+    """Checks what a host states of itself or of another one.
+
+    Raises:
+        ValueError: A name is too long, or the address can't be connected to.
+    """
+    if max(len(host["name"]), len(host["data_centre"])) > _MAX_NAME_CHARACTERS:
+        raise ValueError(f"names of a host have more than {_MAX_NAME_CHARACTERS} characters")
+    parse_address(host["address"])
 
 
 def _digest(hosts: list[KnownHost]) -> str:
--- a/filbertreach/gateway/tests/test_neighbours.py
+++ b/filbertreach/gateway/tests/test_neighbours.py
@@ -4,6 +4,7 @@
 import json
 import zlib
 from collections.abc import AsyncIterator
+from unittest import mock
 
 import anyio
 import msgspec
@@ -219,7 +220,10 @@
         "/v1/news?after=1&wait_ms=-1",
         "/v1/news",
         "/v1/other",
+        f"/v1/hosts?name={'a' * 5_000}&address=127.0.0.1:9&data_centre=b",
+        f"/v1/hosts?name=a&address=127.0.0.1:9&data_centre={'b' * 5_000}",
     ],
+    ids=lambda target: target[:60],
 )
 def test_unusable_queries_of_neighbours_are_refused(target: str) -> None:
     async def run() -> None:
@@ -277,6 +281,23 @@
     anyio.run(run)
 
 
+def test_a_seed_keeps_a_limited_number_of_hosts() -> None:
+    # Guards against a neighbour that announces ever new names until the memory is used up.
+    def host(name: str) -> KnownHost:
+        return KnownHost(name=name, address="127.0.0.1:9", data_centre="minho-1")
+
+    clock = FakeClock()
+    neighbours = _neighbours("front-1", clock)
+    with mock.patch("filbertreach.gateway._neighbours._MAX_LISTED_HOSTS", 50):
+        for number in range(50):
+            neighbours.on_announcement(host(f"other-{number}"), known_digest="")
+        with pytest.raises(ValueError, match="hosts are known"):
+            neighbours.on_announcement(host("one-more"), known_digest="")
+        neighbours.on_announcement(host("other-1"), known_digest="")
+        clock.advance(60.0)
+        neighbours.on_announcement(host("one-more"), known_digest="")
+
+
 def test_changes_that_are_newer_than_now_are_an_error() -> None:
     # Guards against a host that takes its data for current for ever: with such an answer it would
     # never notice that its reader is out of date.
