--- a/filbertreach/transport/_transport.py
+++ b/filbertreach/transport/_transport.py
@@ -34,8 +34,12 @@
 """A heartbeat wait that takes longer than this means that the process was paused."""
 _UNUSED_PEER_SECONDS = 60.0
 """State of a peer that is neither used nor kept connected is removed after this time."""
-_MAX_FRAME_BYTES = 64 * 1024 * 1024
+_MAX_FRAME_BYTES = 32 * 1024 * 1024
+"""Larger frames are not received; a connection holds at most one that is incomplete."""
+_MAX_MESSAGE_BYTES = _MAX_FRAME_BYTES - 64 * 1024
 _MAX_MESSAGES_PER_FRAME = 1000
+_MAX_BATCH_BYTES = 1024 * 1024
+"""Messages of more bytes are sent in several frames, one of them in a frame of its own."""
 _MAX_UNACKNOWLEDGED_FRAMES = 4000
 _SEND_TIMEOUT_MS = 500
 _RECONNECT_MIN_MS = 20
@@ -144,7 +148,8 @@
 
         Returns:
             Whether the message was queued; False if the peer is silent or has too many
-            unacknowledged frames, its address is unusable or the message can't be encoded.
+            unacknowledged frames, its address is unusable, or the message is too large or can't
+            be encoded.
         """
         peer = self._peer(address)
         if peer is None or peer.state is PeerState.SILENT:
@@ -157,6 +162,9 @@
             # A frame that can't be encoded would stop the messages behind it.
             _LOGGER.error("message to %s not sent: %s", address, error)
             return False
+        if memoryview(encoded).nbytes > _MAX_MESSAGE_BYTES:
+            _LOGGER.error("message to %s not sent: over %d bytes", address, _MAX_MESSAGE_BYTES)
+            return False
         peer.last_used_at = self._clock.now()
         peer.unsent.append(encoded)
         peer.notify()
@@ -323,8 +331,8 @@
 
     async def _send_messages(self, peer: Peer, socket: pynng.Push0) -> None:
         while peer.unsent:
-            messages = peer.unsent[:_MAX_MESSAGES_PER_FRAME]
-            del peer.unsent[:_MAX_MESSAGES_PER_FRAME]
+            messages = _first_batch(peer.unsent)
+            del peer.unsent[: len(messages)]
             peer.sequence += 1
             sent = SentFrame(
                 peer.incarnation, peer.epoch, peer.sequence, self._clock.now(), messages
@@ -368,6 +376,18 @@
         return True
 
 
+def _first_batch(messages: list[msgspec.Raw]) -> list[msgspec.Raw]:
+    """Returns the first messages, as many as fit into a frame; at least one."""
+    batch: list[msgspec.Raw] = []
+    byte_count = 0
+    for message in messages[:_MAX_MESSAGES_PER_FRAME]:
+        byte_count += memoryview(message).nbytes
+        if batch and byte_count > _MAX_BATCH_BYTES:
+            break
+        batch.append(message)
+    return batch
+
+
 def _track_connection(socket: pynng.Push0) -> ConnectionState:
     """Returns the state of a socket's connection, which callbacks keep up to date."""
     state = ConnectionState()
--- a/filbertreach/transport/tests/test_transport.py
+++ b/filbertreach/transport/tests/test_transport.py
@@ -282,3 +282,50 @@
             await _until(lambda: far_events.messages == [1, 2])
 
     anyio.run(run)
+
+
+def test_large_messages_that_wait_together_arrive():
+    # Guards against a frame that is too large to be received, and stops all messages behind it.
+    async def run():
+        async with _pair() as (near, far, _relay, near_events, far_events):
+            for number in range(12):
+                message = {"kind": "test", "number": number, "filler": "x" * 6_000_000}
+                assert near.send(address=far.address, message=message)
+            await _until(lambda: len(far_events.messages) >= 12)
+            assert far_events.messages == list(range(12))
+            assert near_events.lost == []
+
+    anyio.run(run)
+
+
+def test_a_message_that_no_frame_can_carry_is_refused():
+    async def run():
+        async with _pair() as (near, far, _relay, _near_events, far_events):
+            message = {"kind": "test", "number": 0, "filler": "x" * (32 * 1024 * 1024)}
+            assert not near.send(address=far.address, message=message)
+            near.send(address=far.address, message={"kind": "test", "number": 1})
+            await _until(lambda: far_events.messages)
+            assert far_events.messages == [1]
+
+    anyio.run(run)
+
+
+@pytest.mark.parametrize("start", [b"", b"\x00SP\x00\x00\x50\x00\x00"], ids=["junk", "one frame"])
+def test_bytes_without_end_close_their_connection(start):
+    # Guards against a process whose bytes are no frames and use up the memory of its peers.
+    async def run():
+        async with _pair() as (near, far, _relay, near_events, _far_events):
+            host, port = near.address.split(":")
+            stream = await anyio.connect_tcp(host, int(port))
+            sent = 0
+            with pytest.raises((anyio.BrokenResourceError, anyio.EndOfStream)):
+                await stream.send(start)
+                while sent < 256 * 1024 * 1024:
+                    await stream.send(b"\xff" * 65536)
+                    sent += 65536
+                raise AssertionError("the connection was not closed")
+            await stream.aclose()
+            far.send(address=near.address, message={"kind": "test", "number": 1})
+            await _until(lambda: near_events.messages)
+
+    anyio.run(run)
