--- a/filbertreach/gateway/_leaf_connection.py
+++ b/filbertreach/gateway/_leaf_connection.py
@@ -15,7 +15,7 @@
 )
 from filbertreach.observability import get_logger
 from filbertreach.platform import read_leaf_answer
-from filbertreach.receive_limits import READ_BUFFER, RECEIVE_BUFFER_OPTION, MessageCost
+from filbertreach.receive_limits import READ_BUFFER, MessageCost, limit_receive_buffer
 from filbertreach.schema import parse_address
 from filbertreach.timing import Clock
 
@@ -146,7 +146,6 @@
             return
         self._fault_kind = FaultKind.CONNECTION_LOST
         self._transport = transport
-        transport.get_extra_info("socket").setsockopt(*RECEIVE_BUFFER_OPTION)
         try:
             if self.exchange is not None and self.exchange.abandoned:
                 self._finish_unsent(self.exchange)
@@ -199,6 +198,7 @@
         """Reads nothing until responses that are expensive to parse may take processor time."""
         assert self._transport is not None
         self._transport.pause_reading()
+        limit_receive_buffer(self._transport)
         self._cost.wait(self, events=self._parser.events)
 
     def on_turn(self) -> None:
--- a/filbertreach/observability/_http_protocol.py
+++ b/filbertreach/observability/_http_protocol.py
@@ -9,10 +9,10 @@
 
 from filbertreach.observability._logs import get_logger
 from filbertreach.receive_limits import (
-    RECEIVE_BUFFER_OPTION,
     MemoryBudget,
     MessageCost,
     SmallReads,
+    limit_receive_buffer,
 )
 
 _MAX_OVERHEAD_BYTES = 64 * 1024
@@ -61,6 +61,7 @@
     def wait_for_turn(self) -> None:
         """Reads nothing until `on_turn`."""
         self._is_waiting = True
+        limit_receive_buffer(self._transport)
         if not self.read_paused:
             self._transport.pause_reading()
 
@@ -106,7 +107,6 @@
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Starts a connection."""
         super().connection_made(transport)
-        transport.get_extra_info("socket").setsockopt(*RECEIVE_BUFFER_OPTION)
         self._cost = MessageCost()
         self.flow = _PacedFlow(transport, pipeline=self.pipeline)
 
--- a/filbertreach/receive_limits/__init__.py
+++ b/filbertreach/receive_limits/__init__.py
@@ -12,11 +12,10 @@
 from filbertreach.receive_limits._memory_budget import Holder, MemoryBudget
 from filbertreach.receive_limits._message_cost import MessageCost
 from filbertreach.receive_limits._parse_turns import ParseTurns, Turn
-from filbertreach.receive_limits._reads import READ_BUFFER, RECEIVE_BUFFER_OPTION, SmallReads
+from filbertreach.receive_limits._reads import READ_BUFFER, SmallReads, limit_receive_buffer
 
 __all__ = [
     "READ_BUFFER",
-    "RECEIVE_BUFFER_OPTION",
     "BodyTooLargeError",
     "Holder",
     "LimitedBackend",
@@ -25,5 +24,6 @@
     "ParseTurns",
     "SmallReads",
     "Turn",
+    "limit_receive_buffer",
     "read_body",
 ]
--- a/filbertreach/receive_limits/_http_backend.py
+++ b/filbertreach/receive_limits/_http_backend.py
@@ -8,7 +8,7 @@
 import httpcore
 
 from filbertreach.receive_limits._parse_turns import PARSE_TURNS, ParseTurns
-from filbertreach.receive_limits._reads import RECEIVE_BUFFER_OPTION
+from filbertreach.receive_limits._reads import limit_receive_buffer
 
 _MIN_READ_BYTES = 256
 _FIRST_READ_BYTES = 1024
@@ -18,7 +18,9 @@
 _EXPENSIVE_SECONDS = 0.002
 """Processor time for the bytes of one read from which the next read is smaller."""
 _FREE_SECONDS = 0.02
-"""Processor time of a response that does not count as expensive."""
+_FREE_SECONDS_PER_BYTE = 0.2e-6
+"""Processor time of a response that does not count as expensive. A body in large parts takes less
+for each byte, chunks of one byte take much more."""
 
 
 class _TurnEvent:
@@ -79,8 +81,9 @@
         elif seconds < _CHEAP_SECONDS:
             self._read_bytes = min(_MAX_READ_BYTES, 2 * self._read_bytes)
         self._total_seconds += seconds
-        if self._total_seconds <= _FREE_SECONDS:
+        if self._total_seconds <= _FREE_SECONDS + _FREE_SECONDS_PER_BYTE * self._response_bytes:
             return
+        limit_receive_buffer(self._stream)
         turn = _TurnEvent()
         self._turns.wait(turn, seconds=seconds, total_seconds=self._total_seconds)
         await turn.event.wait()
@@ -129,7 +132,7 @@
             port,
             timeout=timeout,
             local_address=local_address,
-            socket_options=[*(socket_options or ()), RECEIVE_BUFFER_OPTION],
+            socket_options=socket_options,
         )
         return _LimitedStream(
             stream=stream, max_response_bytes=self._max_response_bytes, turns=self._turns
--- a/filbertreach/receive_limits/_parse_turns.py
+++ b/filbertreach/receive_limits/_parse_turns.py
@@ -3,7 +3,6 @@
 import asyncio
 import heapq
 import itertools
-import logging
 from typing import NamedTuple, Protocol
 
 _PROCESSOR_SHARE = 0.1
@@ -14,8 +13,6 @@
 """Senders that wait for a turn; beyond it, one of them is refused. What each has sent meanwhile
 takes memory of the system."""
 
-_LOGGER = logging.getLogger(__name__)
-
 
 class Turn(Protocol):
     """A sender from which nothing is read until its turn."""
@@ -86,9 +83,6 @@
         refused = max(self._waiting)
         self._waiting.remove(refused)
         heapq.heapify(self._waiting)
-        _LOGGER.warning(
-            "too many messages are expensive to parse; dropped one of %.3f s", refused.total_seconds
-        )
         refused.turn.on_turn_refused()
 
     def _schedule(self, loop: asyncio.AbstractEventLoop) -> None:
--- a/filbertreach/receive_limits/_reads.py
+++ b/filbertreach/receive_limits/_reads.py
@@ -2,14 +2,29 @@
 
 import asyncio
 import socket
+from typing import Any, Protocol
 
 _READ_BYTES = 4096
 _RECEIVE_BUFFER_BYTES = 128 * 1024
 
 READ_BUFFER = memoryview(bytearray(_READ_BYTES))
 """Buffer of all reads of this process; each protocol takes its bytes out before the next read."""
-RECEIVE_BUFFER_OPTION = (socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
-"""Socket option that bounds what a sender from which nothing is read keeps in the system."""
+
+
+class _Connection(Protocol):
+    def get_extra_info(self, name: str, /) -> Any:
+        """Returns information about the connection, such as its socket."""
+
+
+def limit_receive_buffer(connection: _Connection) -> None:
+    """Bounds what a sender from which nothing is read for some time keeps in the system.
+
+    Args:
+        connection: A transport of asyncio or a stream of httpcore.
+    """
+    connection.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+    )
 
 
 class SmallReads(asyncio.BufferedProtocol):
--- a/filbertreach/receive_limits/tests/test_http_clients.py
+++ b/filbertreach/receive_limits/tests/test_http_clients.py
@@ -8,10 +8,12 @@
 from filbertreach.dispatch._errors import LeafError
 from filbertreach.dispatch._exchange import new_connection, request
 from filbertreach.document import Leaf
+from filbertreach.observability import HttpServer, Receive, Scope, Send, respond
 from filbertreach.platform import ExchangeError, HttpChannel
 from filbertreach_standins import StandInProcess
 from filbertreach_standins.endless import ENDLESS_RESPONSES
 from filbertreach_standins.loop_watch import LoopWatch
+from filbertreach_standins.ports import free_address
 
 _CALLS = 16
 _TIMEOUT_SECONDS = 1.0
@@ -82,3 +84,27 @@
 
     with StandInProcess(module="endless", arguments=["--kind", kind]) as server:
         anyio.run(test, server.control.address)
+
+
+def test_a_large_response_does_not_wait_behind_those_without_end() -> None:
+    # Guards against a listing of the store that is late because a leaf sends chunks of one byte.
+    content = b"x" * 4_000_000
+
+    async def application(scope: Scope, receive: Receive, send: Send) -> None:
+        await respond(send, 200, content, "text/plain")
+
+    async def read_beside_endless_ones(endless_address: str) -> None:
+        address = free_address()
+        server = HttpServer(address=address, application=application, drain_seconds=1.0)
+        async with anyio.create_task_group() as group:
+            await group.start(server.run)
+            for _ in range(_CALLS):
+                group.start_soon(_call_leaf, endless_address)
+            async with HttpChannel(base_url=f"http://{address}", timeout_seconds=5.0) as channel:
+                response = await channel.exchange(method="GET", target="/")
+            assert response.body == content
+            server.stop()
+
+    arguments = ["--kind", "chunks of one byte"]
+    with StandInProcess(module="endless", arguments=arguments) as server:
+        anyio.run(read_beside_endless_ones, server.control.address)
