--- a/filbertreach/gateway/_leaf_connection.py
+++ b/filbertreach/gateway/_leaf_connection.py
@@ -15,7 +15,12 @@
 )
 from filbertreach.observability import get_logger
 from filbertreach.platform import read_leaf_answer
-from filbertreach.receive_limits import READ_BUFFER, MessageCost, limit_receive_buffer
+from filbertreach.receive_limits import (
+    LARGE_READ_BUFFER,
+    READ_BUFFER,
+    MessageCost,
+    limit_receive_buffer,
+)
 from filbertreach.schema import parse_address
 from filbertreach.timing import Clock
 
@@ -173,7 +178,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer for the next read."""
-        return READ_BUFFER
+        return LARGE_READ_BUFFER if self._parser.has_large_parts else READ_BUFFER
 
     def buffer_updated(self, nbytes: int) -> None:
         """Processes bytes from the leaf."""
@@ -181,7 +186,7 @@
             # The connection is about to be closed, so these bytes belong to no request.
             return
         try:
-            responses = self._parser.feed(READ_BUFFER[:nbytes])
+            responses = self._parser.feed(LARGE_READ_BUFFER[:nbytes])
         except InvalidResponseError as error:
             self._handle_responses(self._parser.take())
             self._reject(str(error))
--- a/filbertreach/gateway/_response_parser.py
+++ b/filbertreach/gateway/_response_parser.py
@@ -37,7 +37,11 @@
 """Memory that the objects of a header take beside its bytes."""
 _MAX_INTERIM_RESPONSES = 16
 """Interim responses (1xx) before a final one."""
+_MIN_LARGE_PART_BYTES = 256
+"""Mean bytes for each header and part of a body from which a response is cheap to parse."""
 _MAX_STATUS = 599
+_PART_BYTES = 16 * 1024
+"""Bytes of a part in which a body is kept until it is complete."""
 _MAX_HELD_BYTES = 32 * 1024 * 1024
 """Bytes of all incomplete responses; the smallest hosts have 200 MB for the whole process."""
 
@@ -45,6 +49,35 @@
 """Budget of the connections to leaves of this process."""
 
 
+def _do_nothing() -> None:
+    pass
+
+
+class _Body:
+    """A body that grows in parts of similar size.
+
+    A single buffer that grows is copied to ever new places, and between the buffers of many
+    connections the memory of the old places is hardly used again.
+    """
+
+    def __init__(self) -> None:
+        self.byte_count = 0
+        self._parts: list[bytes] = []
+        self._last_part = bytearray()
+
+    def append(self, data: bytes) -> None:
+        self.byte_count += len(data)
+        self._last_part += data
+        if len(self._last_part) >= _PART_BYTES:
+            self._parts.append(bytes(self._last_part))
+            self._last_part = bytearray()
+
+    def content(self) -> bytes:
+        if not self._parts:
+            return bytes(self._last_part)
+        return b"".join((*self._parts, self._last_part))
+
+
 class ResponseParser:
     """Parses the responses of one connection with httptools.
 
@@ -56,7 +89,7 @@
         self,
         *,
         sender: str = "",
-        on_evicted: Callable[[], None] = lambda: None,
+        on_evicted: Callable[[], None] = _do_nothing,
         memory: MemoryBudget = RESPONSE_MEMORY,
     ) -> None:
         """Creates a parser in the state before the first response.
@@ -66,8 +99,7 @@
             on_evicted: Called when an incomplete response was dropped for lack of memory.
             memory: Budget that the bytes of an incomplete response use.
         """
-        self.on_evicted = on_evicted
-        """Called when an incomplete response was dropped for lack of memory."""
+        self._on_evicted = on_evicted
         self.head_only = False
         """Whether the next response has no body whatever its headers say, as after HEAD."""
         self._parser: Any = httptools.HttpResponseParser(self)
@@ -75,7 +107,7 @@
         self._memory = memory
         self._responses: list[RawResponse] = []
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body = bytearray()
+        self._body = _Body()
         self._overhead_bytes = 0
         self._body_bytes_in_feed = 0
         self._interim_count = 0
@@ -95,6 +127,11 @@
         """Headers and parts of bodies since `begin_exchange`, which make most of the cost."""
         return self._events
 
+    @property
+    def has_large_parts(self) -> bool:
+        """Whether the response has a large body in few parts, which are cheap to parse."""
+        return self._body.byte_count > _MIN_LARGE_PART_BYTES * (self._events + _MAX_HEADERS)
+
     def begin_exchange(self, *, head_only: bool) -> None:
         """Prepares for the response to a request.
 
@@ -130,16 +167,23 @@
             self._release()
         return self.take()
 
+    def on_evicted(self) -> None:
+        """Drops an incomplete response, because others need the memory."""
+        self._body = _Body()
+        self._headers = []
+        self._on_evicted()
+
     def close(self) -> None:
         """Releases all memory; to be called with the connection closed."""
         # The parser refers to this object, and keeps the header that it has begun.
         self._parser = None
-        self._body = bytearray()
+        self._on_evicted = _do_nothing
+        self._body = _Body()
         self._headers = []
         self._release()
 
     def _check_size(self) -> None:
-        body_bytes = len(self._body)
+        body_bytes = self._body.byte_count
         if body_bytes > _MAX_BODY_BYTES:
             raise InvalidResponseError(f"response body exceeds {_MAX_BODY_BYTES} bytes")
         max_overhead_bytes = _MAX_OVERHEAD_BYTES + _MAX_OVERHEAD_PER_BODY_BYTE * body_bytes
@@ -176,7 +220,7 @@
     def on_message_begin(self) -> None:
         """Starts a response."""
         self._headers = []
-        self._body = bytearray()
+        self._body = _Body()
         self._overhead_bytes = 0
         self._in_message = True
         self._in_body = False
@@ -202,8 +246,8 @@
         """Stores a chunk of the body, unless the body is already too large."""
         self._events += 1
         self._body_bytes_in_feed += len(data)
-        if len(self._body) <= _MAX_BODY_BYTES:
-            self._body += data
+        if self._body.byte_count <= _MAX_BODY_BYTES:
+            self._body.append(data)
 
     def on_message_complete(self) -> None:
         """Completes a response; interim responses (1xx) are not reported."""
@@ -224,5 +268,5 @@
         status = self._parser.get_status_code()
         if status > _MAX_STATUS:
             raise InvalidResponseError(f"status {status} does not exist")
-        self._responses.append(RawResponse(status, self._headers, bytes(self._body), keep_alive))
-        self._body = bytearray()
+        self._responses.append(RawResponse(status, self._headers, self._body.content(), keep_alive))
+        self._body = _Body()
--- a/filbertreach/gateway/tests/test_response_limits.py
+++ b/filbertreach/gateway/tests/test_response_limits.py
@@ -101,7 +101,7 @@
     evicted: list[ResponseParser] = []
     open_parsers = list(_parsers(memory, count))
     for parser in open_parsers:
-        parser.on_evicted = lambda parser=parser: evicted.append(parser)  # type: ignore[misc]
+        parser._on_evicted = lambda parser=parser: evicted.append(parser)  # type: ignore[misc]
         parser.feed(start)
     for _ in range(15):
         for parser in list(open_parsers):
--- a/filbertreach/receive_limits/__init__.py
+++ b/filbertreach/receive_limits/__init__.py
@@ -12,9 +12,15 @@
 from filbertreach.receive_limits._memory_budget import Holder, MemoryBudget
 from filbertreach.receive_limits._message_cost import MessageCost
 from filbertreach.receive_limits._parse_turns import ParseTurns, Turn
-from filbertreach.receive_limits._reads import READ_BUFFER, SmallReads, limit_receive_buffer
+from filbertreach.receive_limits._reads import (
+    LARGE_READ_BUFFER,
+    READ_BUFFER,
+    SmallReads,
+    limit_receive_buffer,
+)
 
 __all__ = [
+    "LARGE_READ_BUFFER",
     "READ_BUFFER",
     "BodyTooLargeError",
     "Holder",
--- a/filbertreach/receive_limits/_reads.py
+++ b/filbertreach/receive_limits/_reads.py
@@ -4,11 +4,15 @@
 import socket
 from typing import Any, Protocol
 
-_READ_BYTES = 4096
+_SMALL_READ_BYTES = 4096
+_LARGE_READ_BYTES = 16 * 1024
 _RECEIVE_BUFFER_BYTES = 128 * 1024
 
-READ_BUFFER = memoryview(bytearray(_READ_BYTES))
-"""Buffer of all reads of this process; each protocol takes its bytes out before the next read."""
+LARGE_READ_BUFFER = memoryview(bytearray(_LARGE_READ_BYTES))
+"""Buffer for a message whose parts have been large until now."""
+READ_BUFFER = LARGE_READ_BUFFER[:_SMALL_READ_BYTES]
+"""Buffer of all other reads of this process; each protocol takes its bytes out before the next
+read, which begins at the same place."""
 
 
 class _Connection(Protocol):
