--- a/filbertreach/receive_limits/_body.py
+++ b/filbertreach/receive_limits/_body.py
@@ -39,6 +39,8 @@
         BodyTooLargeError: The body is too large.
         httpcore.RemoteProtocolError: It takes too much memory beside others.
     """
+    if _announced_bytes(response) > max_bytes:
+        raise BodyTooLargeError(f"response body exceeds {max_bytes} bytes")
     content = bytearray()
     with anyio.CancelScope() as scope:
         holder = _ScopeHolder(scope)
@@ -54,3 +56,12 @@
         finally:
             memory.release(holder)
     raise httpcore.RemoteProtocolError("incomplete responses exceed the memory for them")
+
+
+def _announced_bytes(response: httpcore.Response) -> int:
+    """Returns the length that the response states, 0 if it states none."""
+    for name, value in response.headers:
+        if name.lower() == b"content-length":
+            # h11 has checked that it is a number.
+            return int(value)
+    return 0
--- a/filbertreach/receive_limits/_http_backend.py
+++ b/filbertreach/receive_limits/_http_backend.py
@@ -12,7 +12,7 @@
 
 _MIN_READ_BYTES = 256
 _FIRST_READ_BYTES = 1024
-_MAX_READ_BYTES = 4096
+_MAX_READ_BYTES = 8192
 _CHEAP_SECONDS = 0.0005
 """Processor time for the bytes of one read up to which the next read may be larger."""
 _EXPENSIVE_SECONDS = 0.002
--- a/filbertreach/receive_limits/tests/test_http_clients.py
+++ b/filbertreach/receive_limits/tests/test_http_clients.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+import anyio.abc
 import pytest
 
 from filbertreach.dispatch._errors import LeafError
@@ -86,6 +87,28 @@
         anyio.run(test, server.control.address)
 
 
+def test_a_response_that_states_too_large_a_body_is_rejected_at_once() -> None:
+    # Guards against megabytes that are read before a call fails, until its deadline has passed.
+    async def serve(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            await stream.receive()
+            await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 40000000\r\n\r\n")
+            await anyio.sleep_forever()
+
+    async def run() -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve)
+            url = f"http://127.0.0.1:{port}"
+            async with HttpChannel(base_url=url, timeout_seconds=60.0) as channel:
+                with anyio.fail_after(30.0), pytest.raises(ExchangeError, match="exceeds"):
+                    await channel.exchange(method="GET", target="/")
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
 def test_a_large_response_does_not_wait_behind_those_without_end() -> None:
     # Guards against a listing of the store that is late because a leaf sends chunks of one byte.
     content = b"x" * 4_000_000
