Gateway: the reserve of the return path follows the connection and the host

What callers saw: on a deployment of 127 hosts without heavy load, 62 of 566 answers were late, almost all of them by a few milliseconds; 101 of 114 answers of the most urgent class were sent 16 ms before the objective.

Cause: the constant reserve. The round trip of the connection is 6.2 ms (24 ms from another region), a new connection has one more, an answer takes 4 ms of a link of 7 Mbit/s, and reading, merging and writing take some milliseconds of a third of a core.

Change: section [caller_reserve] of the policy file, apart from [admission]. The objective counts from the first byte read; the reserve has the round trip that the kernel measures (TCP_INFO), the observed time from the decision to the write, and a margin of 5 ms.

--- a/filbertreach/decisions/__init__.py
+++ b/filbertreach/decisions/__init__.py
@@ -1,7 +1,11 @@
 """Load-balancing decisions shared by several programs: leaf, hedging, limits and wait time."""
 
 from filbertreach.decisions._admission_window import AdmissionWindow
-from filbertreach.decisions._caller_reserve import MIN_CALLER_RESERVE_SECONDS, CallerReserve
+from filbertreach.decisions._caller_reserve import (
+    MIN_CALLER_RESERVE_SECONDS,
+    CallerReserve,
+    RequestArrival,
+)
 from filbertreach.decisions._hedging import HedgeBudget, HedgeDelay, may_hedge
 from filbertreach.decisions._latency import LatencyTracker
 from filbertreach.decisions._leaf import LeafOutcome, LeafState, LeafTracker
@@ -55,6 +59,7 @@
     "LeafTracker",
     "ObjectiveWait",
     "ReplicaPolicy",
+    "RequestArrival",
     "ServiceAdmission",
     "SpillCandidate",
     "SpillChoice",
--- a/filbertreach/decisions/_caller_reserve.py
+++ b/filbertreach/decisions/_caller_reserve.py
@@ -1,23 +1,23 @@
 """Part of the latency objective reserved for the way of an answer back to the caller."""
 
 import math
+from typing import NamedTuple
 
 from filbertreach.decisions._latency import LatencyTracker
 
 MIN_CALLER_RESERVE_SECONDS = 0.016
 """Smallest reserve; enough for hosts with a fast link and little work."""
-_NETWORK_SECONDS = 0.008
-"""Part of the reserve for the network itself: callers are 1 to 3 ms away in each direction, and the
-rest covers jitter."""
-_HANDSHAKE_SECONDS = 0.006
-"""Longest round trip to a caller. The first request on a connection has waited for the handshake
-before the gateway saw it."""
-_DEFAULT_LOOP_DELAY_SECONDS = MIN_CALLER_RESERVE_SECONDS - _NETWORK_SECONDS
+_DEFAULT_ROUND_TRIP_SECONDS = 0.006
+"""Round trip to a caller of the same region, assumed where the kernel does not state it."""
+_MARGIN_SECONDS = 0.005
+"""Time for what is not observed, such as the queues of the network. Leaves that have not answered
+by then are mostly paused, so waiting these milliseconds longer would add few shards."""
+_DEFAULT_LOOP_DELAY_SECONDS = 0.005
 """Delay of the event loop that is reserved until it has been observed."""
 _MAX_OBJECTIVE_SHARE = 0.5
 """Largest share of the objective that is reserved. An answer with few shards is worth little."""
 _DELAY_QUANTILE = 0.9
-"""Quantile of the delay of the event loop that is reserved."""
+"""Quantile that is reserved of the delay of the event loop and of the time to finish an answer."""
 _HEADER_BYTES = 300
 """Bytes of the headers of a part, including those of TCP and IP."""
 _DEFAULT_PART_BYTES = 650.0
@@ -35,6 +35,21 @@
 the answer. Reserving too much costs some coverage, too little the whole answer."""
 
 
+class RequestArrival(NamedTuple):
+    """How a request reached this host, as its connection shows it."""
+
+    is_first_on_connection: bool = False
+    """Whether the caller opened the connection for the request, which then waited for the
+    handshake before the gateway saw it."""
+    round_trip_seconds: float | None = None
+    """Round trip that the kernel has measured, in seconds; None if unknown."""
+    received_at: float | None = None
+    """Clock when the first bytes of the request were read, in seconds; None if unknown."""
+
+
+_UNKNOWN_ARRIVAL = RequestArrival()
+
+
 class CallerReserve:
     """Derives the reserve from the delays that this host observes and expects.
 
@@ -58,6 +73,7 @@
         # One thread runs the event loop, so more than one core does not speed it up.
         self._usable_cores = min(1.0, cores) if cores else 1.0
         self._loop_delays = LatencyTracker()
+        self._finish_times = LatencyTracker()
         self._part_bytes = _DEFAULT_PART_BYTES
         self._work_seconds_per_part = 0.0
         self._parts_since_work = 0
@@ -81,6 +97,15 @@
         """
         self._loop_delays.record(max(0.0, seconds), now)
 
+    def record_finish(self, seconds: float, now: float) -> None:
+        """Records the time from the decision to answer until the answer was given to the network.
+
+        Args:
+            seconds: Time for merging the parts, the log and the encoding of the response.
+            now: Current clock, in seconds.
+        """
+        self._finish_times.record(seconds, now)
+
     def record_work(self, cpu_seconds: float) -> None:
         """Records processor time that the process used while queries were in progress.
 
@@ -138,7 +163,7 @@
         objective_seconds: float,
         arrival_seconds: float = 0.0,
         own_parts: int = 0,
-        is_first_on_connection: bool = False,
+        arrival: RequestArrival = _UNKNOWN_ARRIVAL,
     ) -> float:
         """Returns the reserve for an answer that would be sent now.
 
@@ -148,7 +173,7 @@
             arrival_seconds: `arrival_seconds` when the request was read.
             own_parts: Parts of the query itself that have not arrived. The answer does not wait for
                 them.
-            is_first_on_connection: Whether the caller opened the connection for the request.
+            arrival: How the request reached this host.
         """
         leaving = self._leaving(now) + self._answer_bytes
         parts = _TOGETHER_SHARE * max(0, self.expected_parts - own_parts)
@@ -156,11 +181,13 @@
         observed = self._loop_delays.quantile(_DELAY_QUANTILE)
         if observed is None:
             observed = _DEFAULT_LOOP_DELAY_SECONDS
+        round_trip = arrival.round_trip_seconds or _DEFAULT_ROUND_TRIP_SECONDS
         reserve = (
-            _NETWORK_SECONDS
+            (2.0 if arrival.is_first_on_connection else 1.0) * round_trip
+            + _MARGIN_SECONDS
             + max(observed, work)
+            + (self._finish_times.quantile(_DELAY_QUANTILE) or 0.0)
             + arrival_seconds
-            + (_HANDSHAKE_SECONDS if is_first_on_connection else 0.0)
             + leaving / self._link_bytes_per_second
         )
         largest = _MAX_OBJECTIVE_SHARE * objective_seconds
--- a/filbertreach/gateway/_application.py
+++ b/filbertreach/gateway/_application.py
@@ -4,8 +4,11 @@
 
 import anyio
 
+from filbertreach.decisions import RequestArrival
 from filbertreach.observability import (
     FIRST_REQUEST_EXTENSION,
+    RECEIVED_EXTENSION,
+    ROUND_TRIP_EXTENSION,
     Application,
     ClientDisconnectedError,
     Health,
@@ -19,7 +22,7 @@
 from filbertreach.platform import READY_PATH, CallerAnswer, read_request_head, refuse
 
 if TYPE_CHECKING:
-    from filbertreach.gateway._process import GatewayProcess
+    from filbertreach.gateway._process import GatewayProcess, HandledRequest
 
 
 def caller_application(process: "GatewayProcess") -> Application:
@@ -45,7 +48,7 @@
         request = read_request_head(
             method=scope["method"], target=target, headers=scope["headers"], body=body
         )
-        answer: CallerAnswer | None = None
+        handled: HandledRequest | None = None
         async with anyio.create_task_group() as group:
 
             async def cancel_on_disconnect() -> None:
@@ -54,17 +57,24 @@
                 group.cancel_scope.cancel()
 
             group.start_soon(cancel_on_disconnect)
-            answer = await process.handle(
-                request,
-                is_first_on_connection=FIRST_REQUEST_EXTENSION in scope.get("extensions", ()),
-            )
+            handled = await process.handle(request, arrival=_arrival(scope))
             group.cancel_scope.cancel()
-        if answer is not None:
-            await _send(send, answer, close_connection=process.is_stopping)
+        if handled is not None:
+            await _send(send, handled.answer, close_connection=process.is_stopping)
+            process.record_sent(handled)
 
     return application
 
 
+def _arrival(scope: Scope) -> RequestArrival:
+    extensions = scope.get("extensions", {})
+    return RequestArrival(
+        is_first_on_connection=FIRST_REQUEST_EXTENSION in extensions,
+        round_trip_seconds=extensions.get(ROUND_TRIP_EXTENSION, {}).get("seconds"),
+        received_at=extensions.get(RECEIVED_EXTENSION, {}).get("at"),
+    )
+
+
 async def _send(send: Send, answer: CallerAnswer, *, close_connection: bool) -> None:
     headers = [*answer.headers, (b"content-length", str(len(answer.body)).encode())]
     if close_connection:
--- a/filbertreach/gateway/_policy.py
+++ b/filbertreach/gateway/_policy.py
@@ -14,6 +14,9 @@
 
     admission: bool = False
     """Whether the wait of a request is estimated before it is sent."""
+    caller_reserve: bool = False
+    """Whether the part of the objective that is reserved for the way of an answer back to the
+    caller follows what the host observes; otherwise it is constant."""
     spill_over: CrossingCosts | None = None
     """Costs by which load decides how much is sent to other data centres; None to prefer the near
     leaves by fixed penalties."""
@@ -35,6 +38,7 @@
     spill_over = values["spill_over"]
     return GatewayPolicy(
         admission=values["admission"]["enabled"],
+        caller_reserve=values["caller_reserve"]["enabled"],
         spill_over=CrossingCosts(
             data_centre_seconds=spill_over["data_centre_cost_ms"] / 1000.0,
             region_seconds=spill_over["region_cost_ms"] / 1000.0,
--- a/filbertreach/gateway/_process.py
+++ b/filbertreach/gateway/_process.py
@@ -1,6 +1,7 @@
 """The gateway process: startup, request handling and shutdown."""
 
 import contextlib
+import math
 from collections.abc import Callable, Coroutine
 from types import TracebackType
 from typing import Any, NamedTuple, Self
@@ -8,7 +9,7 @@
 import anyio
 import anyio.abc
 
-from filbertreach.decisions import CallerReserve
+from filbertreach.decisions import CallerReserve, RequestArrival
 from filbertreach.document import ClientAccount, Route, RouteTable
 from filbertreach.gateway._change_log import ChangeLog
 from filbertreach.gateway._directory import Directory
@@ -71,6 +72,15 @@
     """The decision that granted the request; None if the account has no quota."""
 
 
+class HandledRequest(NamedTuple):
+    """A request that was served or refused."""
+
+    answer: CallerAnswer
+    """Answer to the caller."""
+    decided_at: float = math.inf
+    """Clock when its query stopped waiting for leaves, in seconds; infinite without a query."""
+
+
 class GatewayProcess:
     """Holds the routing state of one host and serves the requests of its callers."""
 
@@ -141,7 +151,7 @@
         self._reserve: CallerReserve | None = None
         """Reserve of the objectives; None for the constant one."""
         self._loop_probe: LoopProbe | None = None
-        if self._policy.admission:
+        if self._policy.caller_reserve:
             self._reserve = CallerReserve(
                 link_bytes_per_second=settings.link_bytes_per_second, cores=settings.cores
             )
@@ -200,20 +210,22 @@
         return self._in_progress
 
     async def handle(
-        self, request: CallerRequest, *, is_first_on_connection: bool = False
-    ) -> CallerAnswer:
+        self, request: CallerRequest, *, arrival: RequestArrival | None = None
+    ) -> HandledRequest:
         """Serves a request; the ASGI application cancels this call when the caller disconnects.
 
         Args:
             request: The request.
-            is_first_on_connection: Whether the caller opened the connection for the request.
+            arrival: How the request reached this host; None if unknown.
 
         Returns:
-            The answer to the caller.
+            The answer to the caller, to be reported by `record_sent` once it was sent.
         """
         table = self.directory.table
         if table is None or not self.directory.leaves_listed:
-            return refuse(503, "no configuration yet", retry_after_seconds=_NOT_READY_RETRY_SECONDS)
+            return HandledRequest(
+                refuse(503, "no configuration yet", retry_after_seconds=_NOT_READY_RETRY_SECONDS)
+            )
         route = table.find(request.host, request.path)
         if route is None:
             _LOGGER.info(
@@ -224,17 +236,33 @@
                 path=request.path,
                 version=table.version,
             )
-            return refuse(404, "no route")
-        arrived_at = self._clock.now()
+            return HandledRequest(refuse(404, "no route"))
+        arrived_at = self._arrived_at(arrival)
         access = await self._check_access(request, route, table)
         if isinstance(access, CallerAnswer):
-            return access
-        query = self._make_query(access, arrived_at, is_first_on_connection)
+            return HandledRequest(access)
+        query = self._make_query(access, arrived_at, arrival)
         result = await self._run_query(query, access.decision, arrived_at, table.version)
         seconds = self._clock.now() - arrived_at
         self._record_metrics(query, result, seconds)
         self._log_request(query, result, access.account, table.version, seconds)
-        return result.answer
+        return HandledRequest(result.answer, query.decided_at)
+
+    def record_sent(self, handled: HandledRequest) -> None:
+        """Records that an answer was given to the network.
+
+        Args:
+            handled: Result of `handle`.
+        """
+        if self._reserve is not None and handled.decided_at < math.inf:
+            now = self._clock.now()
+            self._reserve.record_finish(now - handled.decided_at, now)
+
+    def _arrived_at(self, arrival: RequestArrival | None) -> float:
+        """Returns the clock from which the objective of a request counts, in seconds."""
+        if self._reserve is None or arrival is None or arrival.received_at is None:
+            return self._clock.now()
+        return arrival.received_at
 
     async def _check_access(
         self, request: CallerRequest, route: Route, table: RouteTable
@@ -269,7 +297,7 @@
         return _Access(request, route, account, decision)
 
     def _make_query(
-        self, access: _Access, arrived_at: float, is_first_on_connection: bool
+        self, access: _Access, arrived_at: float, arrival: RequestArrival | None
     ) -> Query:
         route = access.route
         statistics = self.directory.statistics(route)
@@ -283,7 +311,7 @@
             arrived_at=arrived_at,
             reserve=self._reserve,
             window=statistics.window(route.priority) if self._policy.admission else None,
-            is_first_on_connection=is_first_on_connection,
+            arrival=arrival,
         )
 
     async def _run_query(
--- a/filbertreach/gateway/_query.py
+++ b/filbertreach/gateway/_query.py
@@ -14,6 +14,7 @@
     CallerReserve,
     LateShardLatencies,
     ObjectiveWait,
+    RequestArrival,
     WaitSettings,
     retry_after_seconds,
 )
@@ -84,7 +85,7 @@
         arrived_at: float,
         reserve: CallerReserve | None = None,
         window: AdmissionWindow | None = None,
-        is_first_on_connection: bool = False,
+        arrival: RequestArrival | None = None,
     ) -> None:
         """Creates the calls; `run` sends them.
 
@@ -99,7 +100,7 @@
             reserve: Part of the objective that is reserved for the way back to the caller; None for
                 a constant one.
             window: Limit on the requests of the route in progress; None to admit all.
-            is_first_on_connection: Whether the caller opened the connection for the request.
+            arrival: How the request reached this host; None if unknown.
         """
         wait_seconds = route.timeout_seconds
         if request.remaining_seconds is not None:
@@ -115,7 +116,9 @@
         """Whether the request counts as in progress in the window."""
         self._arrived_at = arrived_at
         self._reserve = reserve
-        self._is_first_on_connection = is_first_on_connection
+        self._arrival = arrival or RequestArrival()
+        self.decided_at = math.inf
+        """Clock when the query stopped waiting for answers, in seconds; infinite before."""
         self._reserve_seconds = MIN_CALLER_RESERVE_SECONDS
         self._arrival_seconds = 0.0
         """Time for which the request may have waited behind arriving parts, in seconds."""
@@ -371,7 +374,7 @@
                 objective_seconds=objective_seconds,
                 arrival_seconds=self._arrival_seconds,
                 own_parts=self._expected_parts,
-                is_first_on_connection=self._is_first_on_connection,
+                arrival=self._arrival,
             )
         return self._arrived_at + max(0.0, objective_seconds - self._reserve_seconds)
 
@@ -407,7 +410,7 @@
                 await self._wakeup.wait()
 
     def _build_result(self) -> QueryResult:
-        now = self._clock.now()
+        now = self.decided_at = self._clock.now()
         for call in self._take_changed():
             if call.state is CallState.ANSWERED:
                 self._count_end(call, now)
--- a/filbertreach/observability/__init__.py
+++ b/filbertreach/observability/__init__.py
@@ -18,7 +18,11 @@
     health_application,
     respond,
 )
-from filbertreach.observability._http_protocol import FIRST_REQUEST_EXTENSION
+from filbertreach.observability._http_protocol import (
+    FIRST_REQUEST_EXTENSION,
+    RECEIVED_EXTENSION,
+    ROUND_TRIP_EXTENSION,
+)
 from filbertreach.observability._http_server import HttpServer
 from filbertreach.observability._logs import configure_bounded_logs, configure_logs, get_logger
 from filbertreach.observability._metrics import LATENCY_BUCKETS
@@ -43,6 +47,8 @@
     "DROPPED_LINES",
     "FIRST_REQUEST_EXTENSION",
     "LATENCY_BUCKETS",
+    "RECEIVED_EXTENSION",
+    "ROUND_TRIP_EXTENSION",
     "Application",
     "ClientDisconnectedError",
     "DaemonOptions",
--- a/filbertreach/observability/_http_protocol.py
+++ b/filbertreach/observability/_http_protocol.py
@@ -8,15 +8,21 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from filbertreach.observability._logs import get_logger
+from filbertreach.observability._round_trip import round_trip_seconds
 from filbertreach.receive_limits import (
     MemoryBudget,
     MessageCost,
     SmallReads,
     limit_receive_buffer,
 )
+from filbertreach.timing import SystemClock
 
 FIRST_REQUEST_EXTENSION = "filbertreach.first_request"
 """Extension in the ASGI scope of the first request on a connection."""
+RECEIVED_EXTENSION = "filbertreach.received"
+"""Extension in the ASGI scope whose `at` is the `SystemClock` when the request began to arrive."""
+ROUND_TRIP_EXTENSION = "filbertreach.round_trip"
+"""Extension in the ASGI scope whose `seconds` state the round trip of the connection, if known."""
 _MAX_OVERHEAD_BYTES = 64 * 1024
 """Bytes of a request other than its body: request line, headers, chunk framing and trailers."""
 _MAX_OVERHEAD_PER_BODY_BYTE = 8
@@ -106,6 +112,7 @@
     _body_parts = 0
     _held_bytes = 0
     _cost: MessageCost
+    _clock = SystemClock()
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Starts a connection."""
@@ -120,9 +127,13 @@
         self._overhead_bytes = self._body_bytes = self._body_parts = 0
         self._cost.begin_message()
         super().on_message_begin()
+        extensions: dict[str, dict[str, float]] = {RECEIVED_EXTENSION: {"at": self._clock.now()}}
         if not self._has_had_request:
             self._has_had_request = True
-            cast("dict[str, Any]", self.scope)["extensions"] = {FIRST_REQUEST_EXTENSION: {}}
+            extensions[FIRST_REQUEST_EXTENSION] = {}
+        if (seconds := round_trip_seconds(self.transport)) is not None:
+            extensions[ROUND_TRIP_EXTENSION] = {"seconds": seconds}
+        cast("dict[str, Any]", self.scope)["extensions"] = extensions
 
     def on_headers_complete(self) -> None:
         """Starts the application, or queues the request."""
--- a/filbertreach/schema/_generated_policy.py
+++ b/filbertreach/schema/_generated_policy.py
@@ -17,6 +17,17 @@
     """
 
 
+class CallerReserveSection(TypedDict):
+    """
+    Part of the objective that is reserved for the way of an answer back to the caller.
+    """
+
+    enabled: NotRequired[bool]
+    """
+    Whether the reserve follows what the host observes; otherwise it is 16 ms.
+    """
+
+
 class SpillOverSection(TypedDict):
     """
     Use of leaves in other data centres.
@@ -42,4 +53,5 @@
     """
 
     admission: NotRequired[AdmissionSection]
+    caller_reserve: NotRequired[CallerReserveSection]
     spill_over: NotRequired[SpillOverSection]
