Gateway: read the bounds of cold leaves and of removed keys

Callers: with strict_revoke, a key that was removed while a host could not reach the store was accepted until the store was back. Leaves with a smaller cold_overrun or cold_slack than 1.5 and 5 were sent too much while cold.

Cause: the settings were not read.

Change: the settings are read. KeyRevocation refuses requests with keys by 503 once nothing was heard from the store for revoke_ms less a margin; a bound below 4.5 s makes each host watch the store itself. cold_share derives the part of a cold leaf's limit from the bound; it stays 0.6 for every limit with the default bound or a wider one.

--- a/filbertreach/gateway/_directory.py
+++ b/filbertreach/gateway/_directory.py
@@ -13,6 +13,7 @@
     make_spill_policy,
 )
 from filbertreach.document import Route, RouteTable
+from filbertreach.gateway._cold_bound import ColdBound
 from filbertreach.gateway._leaf_handle import Location
 from filbertreach.gateway._metrics import ROUTES_VERSION
 from filbertreach.gateway._request_turns import TurnSchedule
@@ -69,6 +70,7 @@
         on_change: Callable[[], None],
         admission: bool = False,
         spill_over: CrossingCosts | None = None,
+        cold_bound: ColdBound | None = None,
     ) -> None:
         """Creates an empty directory.
 
@@ -83,6 +85,7 @@
             admission: Whether calls wait for a leaf with a place for their rank.
             spill_over: Costs by which load decides what is sent to other data centres; None to
                 prefer near leaves by fixed penalties.
+            cold_bound: What a cold leaf tolerates; None for the usual bound.
         """
         self.table: RouteTable | None = None
         """Routes in force, None before the first configuration; the version never decreases."""
@@ -101,6 +104,7 @@
         self._on_change = on_change
         self._admission = admission
         self._spill_over = spill_over
+        self._cold_bound = cold_bound
         self._data_centre_statistics = DataCentreStatistics()
         self._spill_over_log = SpillOverLog()
         self._host_count: int | None = None
@@ -249,6 +253,7 @@
                     name="marginal_cost", costs=costs, statistics=self._data_centre_statistics
                 ),
                 spill_over_log=None if costs is None else self._spill_over_log,
+                cold_bound=self._cold_bound,
             )
             if self._host_count is not None:
                 pool.set_host_count(self._host_count)
--- a/filbertreach/gateway/_discovery.py
+++ b/filbertreach/gateway/_discovery.py
@@ -23,7 +23,7 @@
 from filbertreach.schema import KnownHost, StoreNews
 from filbertreach.timing import Clock
 
-_WATCH_SECONDS = 1.5
+WATCH_SECONDS = 1.5
 """Wait of a watch. A silent connection is detected after this time and the timeout of the call, and
 neighbours rely on regular confirmations from the reader. It is also the largest uncertainty of the
 time at which a leaf began to leave."""
@@ -97,6 +97,7 @@
         clock: Clock,
         host: str,
         neighbours: ChangeSource | None = None,
+        watch_seconds: float = WATCH_SECONDS,
         sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
     ) -> None:
         """Creates a follower; `run` starts it.
@@ -110,6 +111,7 @@
             clock: Source of time.
             host: Name of this host.
             neighbours: Hosts that may read the store for this one; None if each host reads it.
+            watch_seconds: Longest wait of a watch of this host, in seconds.
             sleep: Sleeps for a number of seconds.
         """
         self._store = store
@@ -119,6 +121,7 @@
         self._clock = clock
         self._host = host
         self._neighbours = neighbours
+        self._watch_seconds = watch_seconds
         self._sleep = sleep
         self._started_at = clock.now()
         self._failure_count = 0
@@ -164,7 +167,7 @@
                     pass
         else:
             kind = "watch" if is_reader else "catch up"
-            wait_seconds = _WATCH_SECONDS if is_reader else _CATCH_UP_SECONDS
+            wait_seconds = self._watch_seconds if is_reader else _CATCH_UP_SECONDS
             match await self._store.watch(ALL_KEYS, after=revision, wait_seconds=wait_seconds):
                 case Success(batch):
                     self._may_have_missed = len(batch.changes) >= _FULL_BATCH
--- a/filbertreach/gateway/_leaf_handle.py
+++ b/filbertreach/gateway/_leaf_handle.py
@@ -5,6 +5,7 @@
 
 from filbertreach.decisions import Distance, LeafTracker, SpillCandidate
 from filbertreach.document import Leaf, Pool
+from filbertreach.gateway._cold_bound import ColdBound
 from filbertreach.gateway._leaf_connection import LeafConnection
 from filbertreach.gateway._metrics import CONNECTIONS, CONNECTIONS_OPENED
 from filbertreach.gateway._request_limit import RequestLimit
@@ -71,6 +72,7 @@
         connections: int,
         hosts: int | None,
         schedule: TurnSchedule,
+        cold_bound: ColdBound,
         clock: Clock,
     ) -> None:
         """Creates a handle without connections.
@@ -81,6 +83,7 @@
             connections: Largest number of connections that this host may open.
             hosts: Number of hosts that call the leaf, this one included; None if unknown.
             schedule: Turns in which this host calls leaves that limit their requests.
+            cold_bound: What the leaf tolerates while it is cold.
             clock: Source of time.
         """
         self.entry = entry
@@ -97,7 +100,11 @@
         )
         """The leaf as a candidate of the spill-over policy."""
         self.request_limit = RequestLimit(
-            leaf=entry.leaf.id, service=entry.service, hosts=hosts, schedule=schedule
+            leaf=entry.leaf.id,
+            service=entry.service,
+            hosts=hosts,
+            schedule=schedule,
+            cold_bound=cold_bound,
         )
         self.retry_hold = RetryHold(leaf=entry.leaf.id, service=entry.service)
         """Time for which the leaf has asked not to be called."""
--- a/filbertreach/gateway/_process.py
+++ b/filbertreach/gateway/_process.py
@@ -11,8 +11,10 @@
 from filbertreach.decisions import CallerReserve
 from filbertreach.document import ClientAccount, Route, RouteTable
 from filbertreach.gateway._change_log import ChangeLog
+from filbertreach.gateway._cold_bound import ColdBound
 from filbertreach.gateway._directory import Directory
-from filbertreach.gateway._discovery import StoreFollower
+from filbertreach.gateway._discovery import WATCH_SECONDS, StoreFollower
+from filbertreach.gateway._key_revocation import KeyRevocation, refuse_stale_keys
 from filbertreach.gateway._leaf_handle import Location
 from filbertreach.gateway._loop_probe import LoopProbe
 from filbertreach.gateway._metrics import (
@@ -47,9 +49,9 @@
 _MAINTENANCE_SECONDS = 1.0
 """Interval at which expired leaves are removed and the number of hosts is updated."""
 _MIN_READER_SHARING_SECONDS = 4.5
-"""Smallest bound on configuration, draining and evacuation with which one host of a data centre
-reads the store for the others. A silent reader is detected after 2.4 s, and a call to the store has
-to fit into the rest of the bound."""
+"""Smallest bound on configuration, draining, evacuation and removed keys with which one host of a
+data centre reads the store for the others. A silent reader is detected after 2.4 s, and a call to
+the store has to fit into the rest of the bound."""
 _DEFAULT_MAX_BODY_BYTES = 262144
 _NOT_READY_RETRY_SECONDS = 0.5
 _OUTCOMES_NOT_RUN = frozenset({"not_run", "limited", "overloaded"})
@@ -114,9 +116,11 @@
             on_change=self._update_health,
             admission=self._policy.admission,
             spill_over=self._policy.spill_over,
+            cold_bound=ColdBound(settings.bounds.cold_overrun, settings.bounds.cold_slack),
         )
         self.change_log = ChangeLog(clock=self._clock)
         """Changes of the store that this host has applied, for its neighbours."""
+        self._revocation = KeyRevocation(bounds=settings.bounds)
         self.neighbours: Neighbours | None = None
         """Gateways on other hosts, None if the settings have no neighbour address."""
         if settings.neighbour_address is not None:
@@ -163,6 +167,7 @@
             change_log=self.change_log,
             host=self._settings.host,
             neighbours=self.neighbours if _may_share_reader(self._settings.bounds) else None,
+            watch_seconds=self._revocation.watch_seconds(WATCH_SECONDS),
         )
         if self.neighbours is not None:
             await self._stack.enter_async_context(self.neighbours)
@@ -246,6 +251,8 @@
         """
         if table.accounts is None:
             return _Access(request, route)
+        if request.api_key_digest and not self._revocation.may_accept(self.change_log.age_seconds):
+            return refuse_stale_keys(request, route.name, table.version)
         account = table.accounts.find(request.api_key_digest)
         if account is None and not route.public:
             _LOGGER.info(
@@ -368,6 +375,7 @@
         old = self._settings
         self._budget.update(settings.bounds)
         self._settings = old._replace(bounds=settings.bounds)
+        self._revocation = KeyRevocation(bounds=settings.bounds)
         needs_restart = [
             field
             for field in ("serve_address", "ready_address", "store_address", "data_centre")
@@ -404,6 +412,8 @@
 def _may_share_reader(bounds: Bounds) -> bool:
     """Returns whether the bounds leave time to detect a reader whose data is stale."""
     shortest = min(bounds.leaf_drain_seconds, bounds.routes_seconds, bounds.evacuate_seconds)
+    if bounds.strict_revoke:
+        shortest = min(shortest, bounds.revoke_seconds)
     return shortest >= _MIN_READER_SHARING_SECONDS
 
 
--- a/filbertreach/gateway/_request_limit.py
+++ b/filbertreach/gateway/_request_limit.py
@@ -3,6 +3,7 @@
 import collections
 import math
 
+from filbertreach.gateway._cold_bound import ColdBound, cold_share
 from filbertreach.gateway._metrics import LIMITED_LEAF_CALLS
 from filbertreach.gateway._request_turns import RequestTurns, TurnSchedule
 from filbertreach.gateway._token_bucket import TokenBucket
@@ -22,12 +23,8 @@
 many hosts would exceed what the leaf tolerates beyond its limit."""
 _COLD_TURN_SECONDS = 0.5
 """Duration of a turn in which this host calls cold leaves, however large its part is. What a cold
-leaf tolerates beyond its limit is counted in one second (1.5 times the limit, and 5), and a longer
-turn lets more hosts use theirs together after a lull."""
-_COLD_SHARE = 0.6
-"""Part of the limit of a cold leaf that all hosts use together. Hosts don't coordinate their turns,
-so the sum varies: with 195 hosts and a limit of 5, it exceeded what a leaf tolerates in one second
-in 7 of 60 runs of 30 s with 0.8, in 1 with 0.65 and in none with 0.6."""
+leaf tolerates beyond its limit is counted in one second (`ColdBound`), and a longer turn lets more
+hosts use theirs together after a lull."""
 
 
 class RequestLimit:
@@ -39,7 +36,13 @@
     """
 
     def __init__(
-        self, *, leaf: str, service: str, hosts: int | None, schedule: TurnSchedule
+        self,
+        *,
+        leaf: str,
+        service: str,
+        hosts: int | None,
+        schedule: TurnSchedule,
+        cold_bound: ColdBound | None = None,
     ) -> None:
         """Creates the state of a leaf that has named no limit.
 
@@ -48,6 +51,7 @@
             service: Its service.
             hosts: Number of hosts that share the limit, this one included; None if unknown.
             schedule: Turns of this host.
+            cold_bound: What the leaf tolerates while it is cold; None for the usual bound.
         """
         self.per_second: float | None = None
         """Requests per second from all hosts together; None while there is no limit."""
@@ -62,6 +66,8 @@
         self.cold_until = -math.inf
         """Clock until which the leaf is cold, in seconds."""
         self._bucket = TokenBucket(now=0.0)
+        self.cold_bound = cold_bound or ColdBound()
+        """What the leaf tolerates while it is cold."""
         self._leaf = leaf
         self._service = service
         self._named_at = -math.inf
@@ -86,8 +92,9 @@
                 )
         if self._is_cold(now):
             assert self.cold_per_second is not None
+            share = cold_share(self.cold_bound, self.cold_per_second)
             cold_at = self.cold_turns.available_at(
-                now, per_second=_COLD_SHARE * self.cold_per_second / self._sharing_hosts
+                now, per_second=share * self.cold_per_second / self._sharing_hosts
             )
             available_at = max(available_at, min(cold_at, self.cold_until))
         return available_at
--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -15,6 +15,7 @@
     SpillReason,
     make_replica_policy,
 )
+from filbertreach.gateway._cold_bound import ColdBound
 from filbertreach.gateway._exchange import Exchange
 from filbertreach.gateway._leaf_connection import LeafConnection
 from filbertreach.gateway._leaf_departures import LeafDepartures
@@ -67,6 +68,7 @@
         admission: bool = False,
         spill_over: SpillPolicy | None = None,
         spill_over_log: SpillOverLog | None = None,
+        cold_bound: ColdBound | None = None,
     ) -> None:
         """Creates a pool without leaves.
 
@@ -83,6 +85,7 @@
             spill_over: Decides what is sent to other data centres; None to prefer near leaves by
                 fixed penalties.
             spill_over_log: Counts the calls sent out; None to count none.
+            cold_bound: What a cold leaf tolerates; None for the usual bound.
         """
         self.service = service
         self.admission = ServiceAdmission() if admission else None
@@ -105,6 +108,7 @@
         """Why the leaf that was chosen last is in another data centre."""
         self._connections = _DEFAULT_CONNECTIONS
         self._cold_per_second: float | None = None
+        self._cold_bound = cold_bound or ColdBound()
         self._host_count: int | None = None
 
     @property
@@ -170,6 +174,7 @@
                 connections=self._connections_per_host(),
                 hosts=self._host_count,
                 schedule=self._schedule,
+                cold_bound=self._cold_bound,
                 clock=self._clock,
             )
             handle.request_limit.cold_per_second = self._cold_per_second
--- a/filbertreach/gateway/tests/test_accounts.py
+++ b/filbertreach/gateway/tests/test_accounts.py
@@ -31,7 +31,7 @@
     StoredListing,
     read_request_head,
 )
-from filbertreach.timing import FakeClock, TimerService
+from filbertreach.timing import FakeClock, SystemClock, TimerService
 from filbertreach_standins.ports import free_address
 
 _SECONDS = 20.0
@@ -53,6 +53,7 @@
 ]
 _LEAVES = {"n1": "north-1", "n2": "north-2", "s1": "south-1"}
 _REGION_BY_DATA_CENTRE = {"north-1": "north", "north-2": "north", "south-1": "south"}
+_BOUNDS = Bounds(5.0, 5.0, 3.0, 0.2, 10.0, 1_000_000.0)
 
 
 def _configuration(version: int, **fields: Any) -> StoredItem:
@@ -165,7 +166,9 @@
 
 
 @contextlib.asynccontextmanager
-async def _gateway(configuration: StoredItem | None) -> AsyncIterator[_Gateway]:
+async def _gateway(
+    configuration: StoredItem | None, bounds: Bounds = _BOUNDS
+) -> AsyncIterator[_Gateway]:
     """Runs a gateway in region north, whose store can't be reached, and three leaves."""
     settings = HostSettings(
         host="front",
@@ -177,7 +180,7 @@
         neighbour_address=None,
         seed_addresses=(),
         store_address="127.0.0.1:1",
-        bounds=Bounds(5.0, 5.0, 3.0, 0.2, 10.0, 1_000_000.0),
+        bounds=bounds,
     )
     leaf_by_id = {leaf_id: _Leaf() for leaf_id in _LEAVES}
     async with (
@@ -214,11 +217,14 @@
 
 
 def _run(
-    test: Callable[[_Gateway], Awaitable[None]], *, configuration: StoredItem | None = None
+    test: Callable[[_Gateway], Awaitable[None]],
+    *,
+    configuration: StoredItem | None = None,
+    bounds: Bounds = _BOUNDS,
 ) -> None:
     async def run() -> None:
         with anyio.fail_after(_SECONDS):
-            async with _gateway(configuration) as gateway:
+            async with _gateway(configuration, bounds) as gateway:
                 await test(gateway)
 
     anyio.run(run)
@@ -380,6 +386,24 @@
     _run(test)
 
 
+def test_a_host_that_hears_nothing_from_the_store_refuses_keys_if_the_settings_say_so() -> None:
+    # Guards against keys that were removed and that a host without the store still accepts.
+    async def test(gateway: _Gateway) -> None:
+        key = _key_line(_KEY)
+        answer = await gateway.request("/v1/x", key)
+        assert answer.status == 503 and b"retry-after" in answer.text.lower()
+        assert (await gateway.request("/open/x", key)).status == 503
+        assert sum(gateway.counts) == 0
+        # Requests without a key are treated as before.
+        assert (await gateway.request("/v1/x")).status == 401
+        assert (await gateway.request("/open/x")).status == 200
+        gateway.process.change_log.reset(revision=1, as_of=SystemClock().now())
+        assert (await gateway.request("/v1/x", key)).status == 200
+
+    bounds = _BOUNDS._replace(strict_revoke=True, revoke_seconds=60.0)
+    _run(test, configuration=_configuration(1), bounds=bounds)
+
+
 def test_keys_are_those_of_the_version_in_force() -> None:
     # Guards against a removed key that is still accepted, and an older version that restores it.
     async def test(gateway: _Gateway) -> None:
--- a/filbertreach/gateway/tests/test_cold_leaves.py
+++ b/filbertreach/gateway/tests/test_cold_leaves.py
@@ -9,6 +9,7 @@
 import pytest
 
 from filbertreach.document import Leaf
+from filbertreach.gateway._cold_bound import ColdBound
 from filbertreach.gateway._directory import Directory
 from filbertreach.gateway._leaf_handle import Location
 from filbertreach.gateway._request_limit import RequestLimit
@@ -185,6 +186,7 @@
         drain_seconds=3.0,
         spawn=lambda run, name: None,
         on_change=lambda: None,
+        cold_bound=ColdBound(1.0, 0.0),
     )
     entry = {
         "service": "fleet",
@@ -200,6 +202,7 @@
     directory.on_change("servers/a", StoredItem("servers/a", json.dumps(entry).encode(), 1), 0.0)
     limit = directory.pool("fleet").handle_by_id["a"].request_limit
     assert (limit.cold_per_second, limit.cold_until) == (None, 112.5)
+    assert limit.cold_bound == ColdBound(1.0, 0.0)
     directory.on_change("op/config", _configuration(1, cold_per_s=4.5, cold_s=20), 0.0)
     assert limit.cold_per_second == 4.5
     directory.on_change("op/config", _configuration(2, cold_per_s=0), 0.0)
--- a/filbertreach/gateway/tests/test_command.py
+++ b/filbertreach/gateway/tests/test_command.py
@@ -185,3 +185,18 @@
     path.write_text(_SETTINGS.format(front=1, ready=2) + limits)
     settings = load_boot(str(path)).unwrap()
     assert (settings.link_bytes_per_second, settings.cores) == (link, cores)
+
+
+def test_the_bounds_of_cold_leaves_and_removed_keys_are_read(tmp_path: pathlib.Path) -> None:
+    # Guards against a bound of the deployment that is assumed instead of read.
+    path = tmp_path / "boot.toml"
+    path.write_text(_SETTINGS.format(front=1, ready=2))
+    bounds = load_boot(str(path)).unwrap().bounds
+    assert (bounds.cold_overrun, bounds.cold_slack) == (1.5, 5.0)
+    assert (bounds.strict_revoke, bounds.revoke_seconds) == (False, 5.0)
+    stated = "retry_slack = 54\ncold_overrun = 1.2\ncold_slack = 3\nstrict_revoke = true\n"
+    text = _SETTINGS.replace("retry_slack = 54\n", stated + "revoke_ms = 2500\n")
+    path.write_text(text.format(front=1, ready=2))
+    bounds = load_boot(str(path)).unwrap().bounds
+    assert (bounds.cold_overrun, bounds.cold_slack) == (1.2, 3.0)
+    assert (bounds.strict_revoke, bounds.revoke_seconds) == (True, 2.5)
--- a/filbertreach/platform/_boot.py
+++ b/filbertreach/platform/_boot.py
@@ -42,6 +42,14 @@
     """Fraction by which all hosts together may exceed a quota in a window."""
     quota_slack: float = 20.0
     """Requests by which all hosts together may exceed a quota in a window, beyond the fraction."""
+    cold_overrun: float = 1.5
+    """Multiple of its limit that a cold leaf tolerates in a second from all hosts together."""
+    cold_slack: float = 5.0
+    """Requests that a cold leaf tolerates in a second in addition."""
+    strict_revoke: bool = False
+    """Whether a host that has not heard from the store for `revoke_seconds` refuses all keys."""
+    revoke_seconds: float = 5.0
+    """Longest time until a key that a configuration has removed is refused."""
 
 
 class HostSettings(NamedTuple):
@@ -100,6 +108,10 @@
     quota_window_s: _Positive = 5.0
     quota_overrun: _NonNegative = 0.1
     quota_slack: _NonNegative = 20.0
+    cold_overrun: _NonNegative = 1.5
+    cold_slack: _NonNegative = 5.0
+    strict_revoke: bool = False
+    revoke_ms: _Positive = 5000.0
 
 
 class _Limits(msgspec.Struct):
@@ -172,6 +184,10 @@
             quota_window_seconds=boot.bounds.quota_window_s,
             quota_overrun=boot.bounds.quota_overrun,
             quota_slack=boot.bounds.quota_slack,
+            cold_overrun=boot.bounds.cold_overrun,
+            cold_slack=boot.bounds.cold_slack,
+            strict_revoke=boot.bounds.strict_revoke,
+            revoke_seconds=boot.bounds.revoke_ms / 1000.0,
         ),
         link_bytes_per_second=limits.link_mbps * _BYTES_PER_MEGABIT or None,
         cores=limits.cores * (limits.cpu_share or 1.0) or None,
