--- a/filbertreach_standins/deployment/__init__.py
+++ b/filbertreach_standins/deployment/__init__.py
@@ -4,7 +4,7 @@
 docs/decisions/platform.md.
 """
 
-from filbertreach_standins.deployment._leaf import DeploymentLeaf, records_of
+from filbertreach_standins.deployment._leaf import KEY_PREFIX, DeploymentLeaf, records_of
 from filbertreach_standins.deployment._store import DeploymentStoreService
 
-__all__ = ["DeploymentLeaf", "DeploymentStoreService", "records_of"]
+__all__ = ["KEY_PREFIX", "DeploymentLeaf", "DeploymentStoreService", "records_of"]
--- a/filbertreach_standins/deployment/_leaf.py
+++ b/filbertreach_standins/deployment/_leaf.py
@@ -36,6 +36,8 @@
     ),
 )
 """Faults in addition to `CONNECTION_FAULTS`."""
+KEY_PREFIX = "soak-key-"
+"""Start of the API keys of runs; a leaf records whether a request contains it."""
 _WRITTEN_BYTES = 16_384
 _MAX_UNSENT_BYTES = 1_000_000
 
@@ -63,23 +65,28 @@
         self._leaf_id = leaf_id
         self._clock = SystemClock()
         self._executions: list[dict[str, Any]] = []
-        self._refused_count = 0
+        self._refusals: list[dict[str, Any]] = []
 
     def counters(self, query: dict[str, str]) -> dict[str, Any]:
         """Returns the number of requests executed, and of those refused with a time."""
-        return {"executions": len(self._executions), "refused": self._refused_count}
+        return {"executions": len(self._executions), "refused": len(self._refusals)}
 
     def reset(self) -> None:
         """Clears the record of executions and refusals."""
         self._executions.clear()
-        self._refused_count = 0
+        self._refusals.clear()
 
     async def administer(
         self, method: str, path: str, query: dict[str, str], body: Any
     ) -> tuple[int, Any] | None:
-        """Answers `GET /admin/executions` with request id and CLOCK_BOOTTIME of each execution."""
+        """Answers `GET /admin/executions` and `GET /admin/refusals`.
+
+        Both list request id, CLOCK_BOOTTIME, named account and whether the request had a key.
+        """
         if (method, path) == ("GET", "/admin/executions"):
             return 200, self._executions
+        if (method, path) == ("GET", "/admin/refusals"):
+            return 200, self._refusals
         return None
 
     async def handle(
@@ -87,14 +94,15 @@
     ) -> None:
         """Executes a request, unless `x-expect-instance` names another leaf."""
         headers = {name.lower(): value for name, value in scope["headers"]}
-        if await read_body(receive) is None:
+        body = await read_body(receive)
+        if body is None:
             return
         if headers.get(b"x-expect-instance", self._leaf_id.encode()).decode() != self._leaf_id:
             await send_json(send, 421, {}, [(b"x-not-executed", b"1")])
             return
         request_id = headers.get(b"x-request-id", b"")
         if seconds := self.faults.value("retry_after"):
-            self._refused_count += 1
+            self._refusals.append({**self._describe(scope, body), "seconds": seconds})
             refusal = [
                 (b"x-request-id", request_id),
                 (b"x-not-executed", b"1"),
@@ -102,7 +110,7 @@
             ]
             await send_json(send, 503, {}, refusal)
             return
-        self._executions.append({"id": request_id.decode(), "at": self._clock.now()})
+        self._executions.append(self._describe(scope, body))
         execution_count = len(self._executions)
         if self.faults.value("hang"):
             await anyio.sleep_forever()
@@ -119,6 +127,19 @@
             stamp_headers.append((b"server-leaving", b"1"))
         await send_bytes(send, status, records_of(self._leaf_id), stamp_headers)
 
+    def _describe(self, scope: dict[str, Any], body: bytes) -> dict[str, Any]:
+        """Returns what is recorded of a request that is executed or refused now."""
+        headers = {name.lower(): value for name, value in scope["headers"]}
+        path = scope["path"].encode()
+        parts = [path, scope["query_string"], body, *headers.values()]
+        return {
+            "id": headers.get(b"x-request-id", b"").decode(),
+            "at": self._clock.now(),
+            "account": headers.get(b"x-tenant", b"").decode(errors="replace"),
+            "has_key": b"x-api-key" in headers
+            or any(KEY_PREFIX.encode() in part for part in parts),
+        }
+
 
 async def _send_without_end(connection: Connection, part: str) -> None:
     """Sends an answer until the connection is closed."""
--- a/filbertreach_standins/gateways/__init__.py
+++ b/filbertreach_standins/gateways/__init__.py
@@ -3,6 +3,10 @@
 `run` runs one seed; `violations` checks the guarantees in what callers and leaves recorded.
 """
 
+from filbertreach_standins.gateways._account_checks import (
+    MAX_REQUESTS_IN_HOLD,
+    RETRY_LEARN_SECONDS,
+)
 from filbertreach_standins.gateways._checker import violations
 from filbertreach_standins.gateways._deployment import (
     Deployment,
@@ -12,26 +16,36 @@
 from filbertreach_standins.gateways._process import GRACE_SECONDS, GatewayProcess, Response
 from filbertreach_standins.gateways._record import (
     AddedRoute,
+    ColdPhase,
+    Evacuation,
     Execution,
     FaultInterval,
     LeafDrain,
+    LeafLeaving,
     LeafLimit,
     PlannedStop,
+    Refusal,
     Request,
     RunRecord,
 )
 
 __all__ = [
     "GRACE_SECONDS",
+    "MAX_REQUESTS_IN_HOLD",
+    "RETRY_LEARN_SECONDS",
     "AddedRoute",
+    "ColdPhase",
     "Deployment",
     "DeploymentOptions",
+    "Evacuation",
     "Execution",
     "FaultInterval",
     "GatewayProcess",
     "LeafDrain",
+    "LeafLeaving",
     "LeafLimit",
     "PlannedStop",
+    "Refusal",
     "Request",
     "Response",
     "RunRecord",
--- a/filbertreach_standins/gateways/_callers.py
+++ b/filbertreach_standins/gateways/_callers.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 
 from filbertreach.timing import SystemClock
+from filbertreach_standins.gateways._accounts import pick_credential
 from filbertreach_standins.gateways._deployment import Deployment
 from filbertreach_standins.gateways._process import GatewayProcess
 from filbertreach_standins.gateways._record import Request, RunRecord
@@ -97,6 +98,8 @@
         path = "/single/" if single else rng.choice(paths)
         if not single and rng.random() < _NEWEST_ROUTE_SHARE:
             path = paths[-1]
+        has_accounts = self._deployment.options.accounts
+        credential = pick_credential(rng) if has_accounts else None
         request_id = f"q{next(self._ids)}"
         incarnation = gateway.incarnation
         sent_at = self._clock.now()
@@ -105,6 +108,7 @@
             request_id,
             method="POST" if single else "GET",
             connection=connection,
+            key=credential.key if credential else None,
         )
         header = "x-server-stamp" if single else "x-part-stamps"
         stamps = [stamp.strip() for stamp in response.headers.get(header, "").split(",")]
@@ -122,6 +126,8 @@
                 missing=int(response.headers.get("x-missing-parts", "0")),
                 body=response.body,
                 error=response.error,
+                account=credential.account if credential else None,
+                allowed_refusal=credential.allowed_refusal if credential else None,
             )
         )
         return response.status != 0 and response.headers.get("connection") != "close"
--- a/filbertreach_standins/gateways/_process.py
+++ b/filbertreach_standins/gateways/_process.py
@@ -9,8 +9,10 @@
 import subprocess
 import sys
 import time
+from collections.abc import Sequence
 from typing import Any, NamedTuple
 
+from filbertreach_standins.gateways._accounts import FIRST_DATA_CENTRE, REGION
 from filbertreach_standins.ports import free_address
 
 GRACE_SECONDS = 3.0
@@ -19,13 +21,13 @@
 _RESPONSE_TIMEOUT_SECONDS = 10.0
 _SETTINGS_TEMPLATE = """
 node_name = "{name}"
-zone = "minho-1"
-region = "minho"
+zone = "{data_centre}"
+region = "{region}"
 ip = "127.0.0.1"
 internal_ports = [{internal_port}, {internal_port}]
 seeds = {seeds}
 [zones]
-minho-1 = "minho"
+{zones}
 [listen]
 front = "{front_address}"
 ready = "{ready_address}"
@@ -69,6 +71,8 @@
         bound_seconds: float,
         slack: float,
         policy: str = "",
+        data_centre: str = FIRST_DATA_CENTRE,
+        data_centres: Sequence[str] = (FIRST_DATA_CENTRE,),
     ) -> None:
         """Writes the settings file; `start` starts the process.
 
@@ -81,6 +85,8 @@
             bound_seconds: Time within which configuration and draining must take effect.
             slack: Retries and hedges that a service may get per window in addition to the ratio.
             policy: Text of the policy file; empty for none.
+            data_centre: Data centre of the host.
+            data_centres: All data centres.
         """
         self.name = name
         self.front_address, self.ready_address = free_address(), free_address()
@@ -96,6 +102,9 @@
         self.settings_path.write_text(
             _SETTINGS_TEMPLATE.format(
                 name=name,
+                data_centre=data_centre,
+                region=REGION,
+                zones="\n".join(f'{name} = "{REGION}"' for name in data_centres),
                 seeds=json.dumps(seed_addresses),
                 front_address=self.front_address,
                 ready_address=self.ready_address,
@@ -180,6 +189,7 @@
         *,
         method: str = "GET",
         connection: http.client.HTTPConnection | None = None,
+        key: str | None = None,
     ) -> Response:
         """Sends a request and reads the response.
 
@@ -188,12 +198,15 @@
             request_id: Request id.
             method: HTTP method.
             connection: Persistent connection; by default a new one for this request.
+            key: API key; None to send none.
 
         Returns:
             The response; its status is 0 if the connection failed.
         """
         http_connection = connection or self.connect()
         headers = {"Host": "shop.example", "X-Request-Id": request_id, "X-Deadline-Ms": "3000"}
+        if key is not None:
+            headers["X-Api-Key"] = key
         try:
             http_connection.request(method, path, headers=headers)
             response = http_connection.getresponse()
--- a/filbertreach_standins/gateways/_record.py
+++ b/filbertreach_standins/gateways/_record.py
@@ -30,6 +30,10 @@
     """Response body."""
     error: str = ""
     """Why there was no response."""
+    account: str | None = None
+    """Name of the account of its key, empty if it has none; None in a run without accounts."""
+    allowed_refusal: int | None = None
+    """Status with which it may be refused although nothing is wrong; None for none."""
 
 
 class Execution(NamedTuple):
@@ -41,6 +45,27 @@
     """Request id."""
     at: float
     """CLOCK_BOOTTIME, in seconds."""
+    account: str = ""
+    """Name of the account that the request named."""
+    has_key: bool = False
+    """Whether the request contained a key."""
+
+
+class Refusal(NamedTuple):
+    """A request that a leaf refused with a time."""
+
+    leaf: str
+    """Leaf id."""
+    id: str
+    """Request id."""
+    at: float
+    """CLOCK_BOOTTIME, in seconds."""
+    seconds: float
+    """Time that the refusal names, in seconds."""
+    account: str = ""
+    """Name of the account that the request named."""
+    has_key: bool = False
+    """Whether the request contained a key."""
 
 
 class FaultInterval(NamedTuple):
@@ -89,6 +114,41 @@
     """CLOCK_BOOTTIME just before the last answer that named it, in seconds."""
 
 
+class Evacuation(NamedTuple):
+    """A period in which a data centre was evacuated."""
+
+    data_centre: str
+    """Data centre."""
+    started_at: float
+    """CLOCK_BOOTTIME when the store had accepted the evacuation, in seconds."""
+    ended_at: float
+    """CLOCK_BOOTTIME just before it was withdrawn, in seconds."""
+
+
+class ColdPhase(NamedTuple):
+    """A period in which the entry of a leaf stated that it is cold."""
+
+    leaf: str
+    """Leaf id."""
+    per_second: float
+    """Requests per second that it takes from all gateways together."""
+    started_at: float
+    """CLOCK_BOOTTIME when the store had accepted the entry, in seconds."""
+    ended_at: float
+    """CLOCK_BOOTTIME until which the leaf is cold, in seconds."""
+
+
+class LeafLeaving(NamedTuple):
+    """A period in which the answers of a leaf said that it is leaving."""
+
+    leaf: str
+    """Leaf id."""
+    started_at: float
+    """CLOCK_BOOTTIME just before the first such answer, in seconds."""
+    ended_at: float
+    """CLOCK_BOOTTIME just before the last such answer, in seconds."""
+
+
 class PlannedStop(NamedTuple):
     """A graceful shutdown of one gateway process."""
 
@@ -128,6 +188,10 @@
         self.routes: list[AddedRoute] = []
         self.leaf_drains: list[LeafDrain] = []
         self.leaf_limits: list[LeafLimit] = []
+        self.refusals: list[Refusal] = []
+        self.evacuations: list[Evacuation] = []
+        self.cold_phases: list[ColdPhase] = []
+        self.leavings: list[LeafLeaving] = []
         self.stops: list[PlannedStop] = []
         self.unexpected_exits: list[str] = []
         """Gateways that exited without a signal, with the end of their logs."""
@@ -135,3 +199,8 @@
         """CLOCK_BOOTTIME from which on requests must succeed again, in seconds."""
         self.shard_by_leaf: dict[str, str] = {}
         self.records_by_leaf: dict[str, bytes] = {}
+        self.data_centre_by_leaf: dict[str, str] = {}
+        self.allowed_by_account: dict[str, float] = {}
+        """Requests of each account with a quota that may run in a window."""
+        self.logs_with_keys: list[str] = []
+        """Gateways whose logs contain a key."""
--- a/filbertreach_standins/gateways/tests/test_checker.py
+++ b/filbertreach_standins/gateways/tests/test_checker.py
@@ -1,16 +1,22 @@
 """Tests the checker of gateway runs with records that satisfy or violate each guarantee."""
 
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 
 from filbertreach_standins.gateways import (
+    RETRY_LEARN_SECONDS,
     AddedRoute,
+    ColdPhase,
+    Evacuation,
     Execution,
     FaultInterval,
     LeafDrain,
+    LeafLeaving,
     LeafLimit,
     PlannedStop,
+    Refusal,
     Request,
     RunRecord,
     violations,
@@ -97,6 +103,79 @@
     record.requests.append(_SCATTER._replace(request_id="q3", status=502, stamps=(), body=b""))
 
 
+def _accounts_record(record: RunRecord, count: int = 1, every: float = 0.1) -> None:
+    """Adds requests of account `limited`; leaf-0 is in the second data centre."""
+    record.data_centre_by_leaf = {"leaf-0": "minho-2", "leaf-1": "minho-1"}
+    record.allowed_by_account = {"limited": 10.0}
+    for number in range(count):
+        sent_at = 200.0 + number * every
+        request_id = f"a{number}"
+        stamps = tuple(s.replace("q1", request_id) for s in _SCATTER.stamps)
+        record.requests.append(
+            _SCATTER._replace(
+                request_id=request_id,
+                sent_at=sent_at,
+                ended_at=sent_at + 0.05,
+                stamps=stamps,
+                account="limited",
+            )
+        )
+        record.executions += [
+            Execution(leaf, request_id, sent_at, "limited") for leaf in record.shard_by_leaf
+        ]
+
+
+def _change_last_request(**fields: Any) -> Callable[[RunRecord], None]:
+    def change(record: RunRecord) -> None:
+        _accounts_record(record)
+        record.requests[-1] = record.requests[-1]._replace(**fields)
+
+    return change
+
+
+def _change_last_execution(**fields: Any) -> Callable[[RunRecord], None]:
+    def change(record: RunRecord) -> None:
+        _accounts_record(record)
+        record.executions[-1] = record.executions[-1]._replace(**fields)
+
+    return change
+
+
+def _key_in_log(record: RunRecord) -> None:
+    record.logs_with_keys.append("a")
+
+
+def _over_quota(record: RunRecord) -> None:
+    _accounts_record(record, 11, 0.4)
+
+
+def _late_in_evacuated_data_centre(record: RunRecord) -> None:
+    _accounts_record(record)
+    record.evacuations.append(Evacuation("minho-2", 194.9, 210.0))
+
+
+def _refused_in_evacuated_data_centre(record: RunRecord) -> None:
+    _accounts_record(record)
+    record.executions = [e for e in record.executions if (e.leaf, e.id) != ("leaf-0", "a0")]
+    record.refusals.append(Refusal("leaf-0", "a0", 200.0, 0.1, "limited"))
+    record.evacuations.append(Evacuation("minho-2", 194.9, 210.0))
+
+
+def _flood_of_cold_leaf(record: RunRecord) -> None:
+    _accounts_record(record, 9, 0.1)
+    record.cold_phases.append(ColdPhase("leaf-0", 2.0, 190.0, 210.0))
+
+
+def _late_at_leaving_leaf(record: RunRecord) -> None:
+    _accounts_record(record, 2, 5.1)
+    record.leavings.append(LeafLeaving("leaf-0", 199.0, 210.0))
+
+
+def _three_in_the_time_of_a_refusal(record: RunRecord) -> None:
+    _accounts_record(record, 4, RETRY_LEARN_SECONDS + 0.1)
+    record.refusals.append(Refusal("leaf-0", "a0", 200.0, 2.0, "limited"))
+
+
 _VIOLATIONS: list[tuple[str, Callable[[RunRecord], None]]] = [
     ("mixed", _add_request(_SCATTER._replace(stamps=("leaf-0.q1.1.200", "leaf-1.q9.1.200")))),
     ("mixed", _add_request(_SCATTER._replace(stamps=("leaf-0.q1.1.200", "leaf-1.q1.1.500")))),
@@ -123,6 +202,20 @@
     ("own ends", lambda record: record.unexpected_exits.append("a exited")),
     ("budget", _many_extra_calls),
     ("recovery", _failed_after_recovery),
+    ("keys", _key_in_log),
+    ("keys", _change_last_execution(has_key=True)),
+    ("keys", _change_last_request(account="")),
+    ("keys", _change_last_request(account="", status=200, stamps=())),
+    ("keys", _change_last_request(status=401)),
+    ("account", _change_last_execution(account="")),
+    ("account", _change_last_execution(account="free")),
+    ("quota", _over_quota),
+    ("quota", _change_last_request(status=429)),
+    ("evacuation", _late_in_evacuated_data_centre),
+    ("evacuation", _refused_in_evacuated_data_centre),
+    ("cold leaf", _flood_of_cold_leaf),
+    ("leaving leaf", _late_at_leaving_leaf),
+    ("retry after", _three_in_the_time_of_a_refusal),
 ]
 
 
@@ -156,3 +249,47 @@
     # A fault of another gateway does not suspend the bounds.
     record.fault_intervals[:] = [FaultInterval("pause", "b", 95.0, 97.0)]
     assert [text for text in violations(record) if text.startswith(f"{guarantee}:")]
+
+
+def _bounds_of_leaves() -> list[tuple[str, Callable[[RunRecord], None]]]:
+    names = ("evacuation", "cold leaf", "leaving leaf", "retry after")
+    return [(name, violate) for name, violate in _VIOLATIONS if name in names]
+
+
+@pytest.mark.parametrize(("guarantee", "violate"), _bounds_of_leaves())
+def test_bounds_of_leaves_do_not_apply_during_a_fault_of_the_gateway(
+    guarantee: str, violate: Callable[[RunRecord], None]
+) -> None:
+    record = _record()
+    violate(record)
+    record.fault_intervals.append(FaultInterval("cut from the store", "a", 195.0, 220.0))
+    assert [text for text in violations(record) if text.startswith(f"{guarantee}:")] == []
+
+
+def test_what_the_bounds_of_leaves_allow_is_no_violation() -> None:
+    # Guards against a check that reports what a run without faults shows.
+    record = _record()
+    _accounts_record(record, 10, 0.5)
+    record.evacuations.append(Evacuation("minho-2", 200.0, 220.0))
+    record.cold_phases.append(ColdPhase("leaf-0", 2.0, 190.0, 210.0))
+    record.leavings.append(LeafLeaving("leaf-0", 199.0, 220.0))
+    record.refusals.append(Refusal("leaf-0", "a0", 200.0, 1.2, "limited"))
+    record.requests.append(
+        _SCATTER._replace(
+            request_id="none", status=401, stamps=(), body=b"", account="", allowed_refusal=401
+        )
+    )
+    assert violations(record) == []
+
+
+def test_a_refusal_for_want_of_an_account_is_no_failed_recovery() -> None:
+    record = _record()
+    record.recovered_by = 50.0
+    refused = _SCATTER._replace(
+        status=429, stamps=(), body=b"", account="limited", allowed_refusal=429
+    )
+    record.requests += [refused._replace(request_id=f"r{n}") for n in range(50)]
+    assert violations(record) == []
+    # They hide no failure among the others.
+    _failed_after_recovery(record)
+    assert [text for text in violations(record) if text.startswith("recovery:")]
--- a/tests/test_gateway_run.py
+++ b/tests/test_gateway_run.py
@@ -25,6 +25,21 @@
     assert served > 500, summary
 
 
+@pytest.mark.parametrize("kind", ["leaf is cold", "leaf says it leaves", "leaf refuses for a time"])
+def test_a_short_run_with_accounts_violates_no_guarantee(kind: str) -> None:
+    # One kind of each run holds the leaf, so that its bound is checked whatever the order.
+    options = gateway_run.RunOptions(
+        seed=9001, seconds=14.0, kinds=("evacuation", kind), accounts=True
+    )
+    result = gateway_run.run(options)
+    summary = gateway_run.summary(result)
+    assert result.violations == [], summary
+    record = result.record
+    assert sum(request.status == 200 for request in record.requests) > 500, summary
+    assert record.evacuations, summary
+    assert record.cold_phases or record.leavings or record.refusals, summary
+
+
 def _children(process_id: int) -> list[int]:
     tasks = pathlib.Path(f"/proc/{process_id}/task")
     return [
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -32,6 +32,11 @@
     parser.add_argument(
         "--kind", action="append", default=[], help="inject only this kind of fault; repeatable"
     )
+    parser.add_argument(
+        "--accounts",
+        action="store_true",
+        help="gateways only: client accounts, quotas, evacuations, cold and leaving leaves",
+    )
     arguments = parser.parse_args()
     # The default action would end this process without stopping the processes of the run.
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(_EXIT_TERMINATED))
@@ -53,7 +58,11 @@
     if arguments.of == "gateways":
         gateway_result = gateway_run.run(
             gateway_run.RunOptions(
-                seed=seed, seconds=arguments.seconds, gateways=arguments.hosts, kinds=kinds
+                seed=seed,
+                seconds=arguments.seconds,
+                gateways=arguments.hosts,
+                kinds=kinds,
+                accounts=arguments.accounts,
             )
         )
         return gateway_run.summary(gateway_result), not gateway_result.violations
