Gateway: load returns gradually after an evacuation or a mass start

Callers: once an evacuation is withdrawn or many leaves start together, every host moves all calls to leaves with empty caches; their queues grow and answers are late.

Change: [load_return] of the policy file. Without the section no number is drawn and decisions are unchanged.

--- a/filbertreach/decisions/__init__.py
+++ b/filbertreach/decisions/__init__.py
@@ -6,6 +6,7 @@
 from filbertreach.decisions._latency import LatencyTracker
 from filbertreach.decisions._leaf import LeafOutcome, LeafState, LeafTracker
 from filbertreach.decisions._limits import ConcurrencyLimit, connection_share
+from filbertreach.decisions._load_return import RETURN_SECONDS, LoadReturn
 from filbertreach.decisions._replicas import ReplicaPolicy, make_replica_policy, replica_policy
 from filbertreach.decisions._service_admission import (
     ServiceAdmission,
@@ -38,6 +39,7 @@
 __all__ = [
     "DISTANCES",
     "MIN_CALLER_RESERVE_SECONDS",
+    "RETURN_SECONDS",
     "AdmissionWindow",
     "CallerReserve",
     "ConcurrencyLimit",
@@ -53,6 +55,7 @@
     "LeafReport",
     "LeafState",
     "LeafTracker",
+    "LoadReturn",
     "ObjectiveWait",
     "ReplicaPolicy",
     "ServiceAdmission",
--- a/filbertreach/gateway/_directory.py
+++ b/filbertreach/gateway/_directory.py
@@ -1,15 +1,18 @@
 """Routing state of the gateway: the routes in force and the leaves of each service."""
 
+import math
 import random
 from collections.abc import Callable
 
 from returns.result import Failure, Success
 
 from filbertreach.decisions import (
+    RETURN_SECONDS,
     AdmissionWindow,
     CrossingCosts,
     DataCentreStatistics,
     LateShardLatencies,
+    LoadReturn,
     make_spill_policy,
 )
 from filbertreach.document import Route, RouteTable
@@ -71,6 +74,7 @@
         admission: bool = False,
         spill_over: CrossingCosts | None = None,
         cold_bound: ColdBound | None = None,
+        load_return: LoadReturn | None = None,
     ) -> None:
         """Creates an empty directory.
 
@@ -86,6 +90,7 @@
             spill_over: Costs by which load decides what is sent to other data centres; None to
                 prefer near leaves by fixed penalties.
             cold_bound: What a cold leaf tolerates; None for the usual bound.
+            load_return: Paces the return of load to leaves; None to use them in full at once.
         """
         self.table: RouteTable | None = None
         """Routes in force, None before the first configuration; the version never decreases."""
@@ -105,6 +110,7 @@
         self._admission = admission
         self._spill_over = spill_over
         self._cold_bound = cold_bound
+        self._load_return = load_return
         self._data_centre_statistics = DataCentreStatistics()
         self._spill_over_log = SpillOverLog()
         self._host_count: int | None = None
@@ -157,8 +163,13 @@
                 data_centre=data_centre,
                 known=data_centre in self._region_by_data_centre,
             )
+            if self._load_return is not None:
+                self._load_return.on_evacuated(data_centre)
         for data_centre in sorted(self.evacuated_data_centres - evacuated):
             _LOGGER.info("data centre in use again", data_centre=data_centre)
+            if self._load_return is not None:
+                self._load_return.on_withdrawn(data_centre, self._clock.now())
+                _LOGGER.info("load returns", data_centre=data_centre, seconds=RETURN_SECONDS)
         # Changed in place, as the pools hold the same set.
         self.evacuated_data_centres.clear()
         self.evacuated_data_centres.update(evacuated)
@@ -254,6 +265,7 @@
                 ),
                 spill_over_log=None if costs is None else self._spill_over_log,
                 cold_bound=self._cold_bound,
+                load_return=self._load_return,
             )
             if self._host_count is not None:
                 pool.set_host_count(self._host_count)
@@ -307,10 +319,37 @@
         if old_service is not None and old_service != entry.service:
             self.pool(old_service).unlist_leaf(leaf_id, since=since)
         self._service_by_leaf[leaf_id] = entry.service
-        self.pool(entry.service).update_leaf(entry, since=since)
+        pool = self.pool(entry.service)
+        old_handle = pool.handle_by_id.get(leaf_id)
+        was_in_use = old_handle is not None and old_handle.usable_until == math.inf
+        pool.update_leaf(entry, since=since)
+        handle = pool.handle_by_id[leaf_id]
+        if handle.usable_until == math.inf and not (was_in_use and handle is old_handle):
+            self._on_leaf_started(entry)
         if self.leaves_listed:
             _LOGGER.info("leaf listed", leaf=leaf_id, service=entry.service, leaving=entry.leaving)
 
+    def _on_leaf_started(self, entry: LeafEntry) -> None:
+        """Paces the return of load if many leaves of a data centre come into use together."""
+        # The first listing shows leaves that have been in use.
+        if self._load_return is None or not self.leaves_listed:
+            return
+        data_centre = entry.leaf.data_centre
+        count = self._load_return.on_started(
+            entry.leaf.id,
+            data_centre,
+            self._clock.now(),
+            count_leaves=lambda: sum(
+                handle.leaf.data_centre == data_centre
+                for pool in self.pool_by_service.values()
+                for handle in pool.handle_by_id.values()
+            ),
+        )
+        if count:
+            _LOGGER.info(
+                "load returns", data_centre=data_centre, leaves=count, seconds=RETURN_SECONDS
+            )
+
     def _unlist_leaf(self, leaf_id: str, reason: str, since: float) -> None:
         service = self._service_by_leaf.pop(leaf_id, None)
         if service is not None:
--- a/filbertreach/gateway/_policy.py
+++ b/filbertreach/gateway/_policy.py
@@ -17,6 +17,8 @@
     spill_over: CrossingCosts | None = None
     """Costs by which load decides how much is sent to other data centres; None to prefer the near
     leaves by fixed penalties."""
+    load_return: bool = False
+    """Whether load returns over some seconds after an evacuation or a start of many leaves."""
 
 
 def load_policy(path: str) -> Result[GatewayPolicy, SettingsError]:
@@ -41,4 +43,5 @@
         )
         if spill_over["enabled"]
         else None,
+        load_return=values["load_return"]["enabled"],
     )
--- a/filbertreach/gateway/_process.py
+++ b/filbertreach/gateway/_process.py
@@ -8,7 +8,7 @@
 import anyio
 import anyio.abc
 
-from filbertreach.decisions import CallerReserve
+from filbertreach.decisions import CallerReserve, LoadReturn
 from filbertreach.document import ClientAccount, Route, RouteTable
 from filbertreach.gateway._change_log import ChangeLog
 from filbertreach.gateway._cold_bound import ColdBound
@@ -117,6 +117,7 @@
             admission=self._policy.admission,
             spill_over=self._policy.spill_over,
             cold_bound=ColdBound(settings.bounds.cold_overrun, settings.bounds.cold_slack),
+            load_return=LoadReturn() if self._policy.load_return else None,
         )
         self.change_log = ChangeLog(clock=self._clock)
         """Changes of the store that this host has applied, for its neighbours."""
@@ -375,7 +376,6 @@
         old = self._settings
         self._budget.update(settings.bounds)
         self._settings = old._replace(bounds=settings.bounds)
-        self._revocation = KeyRevocation(bounds=settings.bounds)
         needs_restart = [
             field
             for field in ("serve_address", "ready_address", "store_address", "data_centre")
--- a/filbertreach/gateway/_request_limit.py
+++ b/filbertreach/gateway/_request_limit.py
@@ -90,7 +90,7 @@
                 available_at = self._bucket.available_at(
                     now, per_second=own_per_second, priority=priority
                 )
-        if self._is_cold(now):
+        if self.is_cold(now):
             assert self.cold_per_second is not None
             share = cold_share(self.cold_bound, self.cold_per_second)
             cold_at = self.cold_turns.available_at(
@@ -105,7 +105,7 @@
         Args:
             now: Current clock, in seconds.
         """
-        if self._is_cold(now):
+        if self.is_cold(now):
             return False
         if self.per_second is None:
             return True
@@ -121,7 +121,7 @@
             kind: first, retry or hedge.
             now: Current clock, in seconds.
         """
-        if self._is_cold(now):
+        if self.is_cold(now):
             self.cold_turns.take(now)
         if self.per_second is None:
             return
@@ -196,7 +196,12 @@
         assert self.per_second is not None
         return max(self.per_second, _MIN_PER_SECOND) / self._sharing_hosts
 
-    def _is_cold(self, now: float) -> bool:
+    def is_cold(self, now: float) -> bool:
+        """Returns whether the limit of a cold leaf is in force.
+
+        Args:
+            now: Current clock, in seconds.
+        """
         return now < self.cold_until and self.cold_per_second is not None
 
     @property
--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -9,6 +9,7 @@
     Distance,
     LeafOutcome,
     LeafReport,
+    LoadReturn,
     ReplicaPolicy,
     ServiceAdmission,
     SpillPolicy,
@@ -69,6 +70,7 @@
         spill_over: SpillPolicy | None = None,
         spill_over_log: SpillOverLog | None = None,
         cold_bound: ColdBound | None = None,
+        load_return: LoadReturn | None = None,
     ) -> None:
         """Creates a pool without leaves.
 
@@ -86,6 +88,7 @@
                 fixed penalties.
             spill_over_log: Counts the calls sent out; None to count none.
             cold_bound: What a cold leaf tolerates; None for the usual bound.
+            load_return: Paces the return of load to leaves; None to use them in full at once.
         """
         self.service = service
         self.admission = ServiceAdmission() if admission else None
@@ -109,6 +112,7 @@
         self._connections = _DEFAULT_CONNECTIONS
         self._cold_per_second: float | None = None
         self._cold_bound = cold_bound or ColdBound()
+        self._load_return = load_return
         self._host_count: int | None = None
 
     @property
@@ -307,14 +311,18 @@
             # A request that is lost at a failing leaf can't be sent again, so avoid suspect leaves.
             listed = [h for h in listed if h.tracker.state != "suspect"] or listed
         is_sent_by_load = False
+        chosen: LeafHandle | None = None
         if not listed:
             chosen = min(last_resort, key=lambda h: h.tracker.in_flight, default=None)
-        elif self._spill_over is None:
-            chosen = self._choose_by_wait(listed, now, typical_seconds)
-        else:
-            chosen, is_sent_by_load = self._choose_by_costs(
-                self._spill_over, listed, now, typical_seconds, priority, remaining_seconds
-            )
+        for leaves in self._paced(listed, now):
+            if self._spill_over is None:
+                chosen = self._choose_by_wait(leaves, now, typical_seconds)
+            else:
+                chosen, is_sent_by_load = self._choose_by_costs(
+                    self._spill_over, leaves, now, typical_seconds, priority, remaining_seconds
+                )
+            if chosen is not None:
+                break
         self._sent_out_reason = None
         if is_sent_by_load:
             self._sent_out_reason = "load"
@@ -358,6 +366,27 @@
                 last_resort.append(handle)
         return listed, last_resort
 
+    def _paced(self, listed: list[LeafHandle], now: float) -> list[list[LeafHandle]]:
+        """Returns the leaves to choose from, and all of them if those can not take the call.
+
+        Leaves to which load is returning are left out for a part of the calls. While a leaf is
+        cold, its limit sets the pace.
+        """
+        if not listed or self._load_return is None:
+            return [listed] if listed else []
+        withheld = self._load_return.withheld(
+            [
+                (handle.leaf.id, handle.leaf.data_centre)
+                for handle in listed
+                if not handle.request_limit.is_cold(now)
+            ],
+            now,
+        )
+        others = [handle for handle in listed if handle.leaf.id not in withheld]
+        if not withheld or all(handle.tracker.state == "suspect" for handle in others):
+            return [listed]
+        return [others, listed]
+
     def _choose_by_wait(
         self, listed: list[LeafHandle], now: float, typical_seconds: float | None
     ) -> LeafHandle | None:
--- a/filbertreach/gateway/tests/test_key_revocation.py
+++ b/filbertreach/gateway/tests/test_key_revocation.py
@@ -28,7 +28,9 @@
     # The previous data was confirmed just before the removal; its answer was on the way then.
     margin = min(_TRANSIT_SECONDS, 0.2 * revoke_seconds)
     accepted = [
-        age / 100.0 for age in range(round(200 * revoke_seconds)) if revocation.may_accept(age / 100.0)
+        age / 100.0
+        for age in range(round(200 * revoke_seconds))
+        if revocation.may_accept(age / 100.0)
     ]
     assert max(accepted) + margin <= revoke_seconds
     assert max(accepted) >= 0.7 * revoke_seconds
@@ -57,5 +59,7 @@
     ("bounds", "is_shared"),
     [(_strict(4.5), True), (_strict(4.4), False), (_BOUNDS._replace(revoke_seconds=1.0), True)],
 )
-def test_hosts_share_a_reader_only_if_the_bound_leaves_time(bounds: Bounds, is_shared: bool) -> None:
+def test_hosts_share_a_reader_only_if_the_bound_leaves_time(
+    bounds: Bounds, is_shared: bool
+) -> None:
     assert _process._may_share_reader(bounds) == is_shared
--- a/filbertreach/schema/_generated_policy.py
+++ b/filbertreach/schema/_generated_policy.py
@@ -36,6 +36,17 @@
     """
 
 
+class LoadReturnSection(TypedDict):
+    """
+    Return of load after an evacuation or a start of many leaves.
+    """
+
+    enabled: NotRequired[bool]
+    """
+    Whether load returns over some seconds.
+    """
+
+
 class GatewayPolicy(TypedDict):
     """
     Decisions under load that operators switch on in the gateway, written in INI.
@@ -43,3 +54,4 @@
 
     admission: NotRequired[AdmissionSection]
     spill_over: NotRequired[SpillOverSection]
+    load_return: NotRequired[LoadReturnSection]
