--- a/filbertreach/schema/_generated_policy.py
+++ b/filbertreach/schema/_generated_policy.py
@@ -47,6 +47,17 @@
     """
 
 
+class LoadReturnSection(TypedDict):
+    """
+    Return of load after an evacuation or a start of many leaves.
+    """
+
+    enabled: NotRequired[bool]
+    """
+    Whether load returns over some seconds.
+    """
+
+
 class GatewayPolicy(TypedDict):
     """
     Decisions under load that operators switch on in the gateway, written in INI.
@@ -54,4 +65,5 @@
 
     admission: NotRequired[AdmissionSection]
     caller_reserve: NotRequired[CallerReserveSection]
+    load_return: NotRequired[LoadReturnSection]
     spill_over: NotRequired[SpillOverSection]
