Where hosts outnumber a leaf's connections, only some keep one idle

Cause: each host kept a connection to each leaf open for up to 30 s, so leaves had no place left and reset the connections of the other hosts.

Change: where the number of hosts is known and above the max_conns that the configuration states, a hash of host and leaf decides which hosts keep an idle connection; the others close theirs after its answer. All hosts together stay below four fifths of max_conns, with a margin of two standard deviations. Elsewhere nothing changes.

--- a/filbertreach/gateway/_process.py
+++ b/filbertreach/gateway/_process.py
@@ -106,7 +106,7 @@
         self._budget.update(settings.bounds)
         self.directory = Directory(
             clock=self._clock,
-            location=Location(settings.region, settings.data_centre),
+            location=Location(settings.region, settings.data_centre, settings.host),
             region_by_data_centre=settings.region_by_data_centre,
             budget=self._budget,
             drain_seconds=settings.bounds.leaf_drain_seconds,
--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -16,6 +16,7 @@
     make_replica_policy,
 )
 from filbertreach.gateway._exchange import Exchange
+from filbertreach.gateway._idle_connections import keeping_share
 from filbertreach.gateway._leaf_connection import LeafConnection
 from filbertreach.gateway._leaf_departures import LeafDepartures
 from filbertreach.gateway._leaf_handle import LeafHandle, Location
@@ -103,7 +104,8 @@
         self._spill_over_log = spill_over_log
         self._sent_out_reason: SpillReason | None = None
         """Why the leaf that was chosen last is in another data centre."""
-        self._connections = _DEFAULT_CONNECTIONS
+        self._connections: int | None = None
+        """Connections that each leaf accepts; None if the configuration does not say."""
         self._cold_per_second: float | None = None
         self._host_count: int | None = None
 
@@ -144,7 +146,11 @@
 
     def _update_connection_limits(self) -> None:
         for handle in self.handle_by_id.values():
-            handle.max_connections = self._connections_per_host()
+            self._set_connection_limits(handle)
+
+    def _set_connection_limits(self, handle: LeafHandle) -> None:
+        handle.max_connections = self._connections_per_host()
+        handle.keeping_share = keeping_share(hosts=self._host_count, connections=self._connections)
 
     def update_leaf(self, entry: LeafEntry, *, since: float) -> None:
         """Adds a leaf, or updates it from its entry.
@@ -172,6 +178,7 @@
                 schedule=self._schedule,
                 clock=self._clock,
             )
+            self._set_connection_limits(handle)
             handle.request_limit.cold_per_second = self._cold_per_second
             handle.retry_hold = self._hold_by_process.get(entry.process, handle.retry_hold)
             if self._spill_over is not None:
@@ -618,4 +625,4 @@
 
     def _connections_per_host(self) -> int:
         sharing_hosts = max(_MIN_SHARING_HOSTS, self._host_count or 0)
-        return max(1, self._connections // sharing_hosts)
+        return max(1, (self._connections or _DEFAULT_CONNECTIONS) // sharing_hosts)
