A host that is restarted continues with its retry budgets

What callers saw: nothing; leaves got 620 to 790 retries and hedges in a window where 600 are allowed while hosts were restarted in turn.

Cause: a process that has just started knows no window before, so it counted all requests of callers that came from other hosts, whose requests had already allowed extra calls there.

Change: a host that stops gracefully hands the counts of its budgets to two hosts of its data centre (POST /v1/retry-histories), with those that it keeps for others; a host that starts asks them (GET) and continues. Without an answer, or after more than a window, it counts as before. Needs the neighbour address of the settings.

--- a/filbertreach/gateway/_command.py
+++ b/filbertreach/gateway/_command.py
@@ -54,6 +54,8 @@
 failed check."""
 _DRAIN_END_FRACTION = 0.92
 """Fraction of the grace period after which requests in progress are cancelled."""
+_HANDOVER_FRACTION = 0.05
+"""Fraction of the grace period in which other hosts are told what the retry budgets have used."""
 
 _LOGGER = get_logger(__name__)
 
@@ -156,7 +158,10 @@
                 group.start_soon(_reload_changed, process, path, mtime)
                 if settings.neighbour_address and process.neighbours:
                     application = neighbour_application(
-                        process.neighbours, process.change_log, process.quotas
+                        process.neighbours,
+                        process.change_log,
+                        process.quotas,
+                        handover=process.handover,
                     )
                     group.start_soon(_serve_neighbours, settings.neighbour_address, application)
                 _LOGGER.info("started", serve=settings.serve_address, ready=settings.ready_address)
@@ -172,6 +177,9 @@
                     (_DRAIN_END_FRACTION - _DRAIN_START_FRACTION) * grace_seconds
                 ):
                     await caller_server.wait_stopped()
+                if process.handover is not None:
+                    with anyio.move_on_after(_HANDOVER_FRACTION * grace_seconds):
+                        await process.handover.hand_over()
                 _LOGGER.info("stopped", in_progress=process.in_progress)
                 ready_server.stop()
                 group.cancel_scope.cancel()
--- a/filbertreach/gateway/_directory.py
+++ b/filbertreach/gateway/_directory.py
@@ -16,7 +16,7 @@
 from filbertreach.gateway._leaf_handle import Location
 from filbertreach.gateway._metrics import ROUTES_VERSION
 from filbertreach.gateway._request_turns import TurnSchedule
-from filbertreach.gateway._retry_budget import RetryBudgetSettings
+from filbertreach.gateway._retry_budget import BudgetHistory, RetryBudgetSettings
 from filbertreach.gateway._route_latencies import RouteLatencies
 from filbertreach.gateway._service_pool import ServicePool, Spawn
 from filbertreach.gateway._spill_over_log import SpillOverLog
@@ -104,6 +104,8 @@
         self._data_centre_statistics = DataCentreStatistics()
         self._spill_over_log = SpillOverLog()
         self._host_count: int | None = None
+        self._history_by_service: dict[str, BudgetHistory] = {}
+        """Retry histories of the last process for services that are not known yet."""
         self._service_by_leaf: dict[str, str] = {}
         self._statistics_by_route: dict[str, RouteStatistics] = {}
         self._configured_services: set[str] = set()
@@ -252,9 +254,34 @@
             )
             if self._host_count is not None:
                 pool.set_host_count(self._host_count)
+            history = self._history_by_service.pop(service, None)
+            if history is not None:
+                pool.budget.restore(history, self._clock.now())
             self.pool_by_service[service] = pool
         return pool
 
+    # Retry budgets.
+
+    def retry_histories(self) -> dict[str, BudgetHistory]:
+        """Returns what the next process of this host has to know of the retry budgets."""
+        now = self._clock.now()
+        history_by_service = {
+            service: pool.budget.history(now) for service, pool in self.pool_by_service.items()
+        }
+        return {service: item for service, item in history_by_service.items() if item is not None}
+
+    def restore_retry_histories(self, history_by_service: dict[str, BudgetHistory]) -> None:
+        """Continues with the retry budgets of the last process of this host.
+
+        Args:
+            history_by_service: Histories; those of services that are not known yet apply later.
+        """
+        now = self._clock.now()
+        self._history_by_service = dict(history_by_service)
+        for service in history_by_service.keys() & self.pool_by_service.keys():
+            history = self._history_by_service.pop(service)
+            self.pool_by_service[service].budget.restore(history, now)
+
     # Leaves.
 
     def _apply_leaf_change(self, key: str, item: StoredItem | None, since: float) -> None:
--- a/filbertreach/gateway/_neighbour_application.py
+++ b/filbertreach/gateway/_neighbour_application.py
@@ -6,6 +6,11 @@
 
 from filbertreach.gateway._change_log import ChangeLog
 from filbertreach.gateway._neighbours import CHANGES_PATH, HOSTS_PATH, Neighbours, compress
+from filbertreach.gateway._retry_handover import (
+    MAX_HISTORIES_BYTES,
+    RETRY_HISTORIES_PATH,
+    RetryHandover,
+)
 from filbertreach.observability import (
     Application,
     ClientDisconnectedError,
@@ -32,7 +37,11 @@
 
 
 def neighbour_application(
-    neighbours: Neighbours, change_log: ChangeLog, quotas: FleetQuotas | None = None
+    neighbours: Neighbours,
+    change_log: ChangeLog,
+    quotas: FleetQuotas | None = None,
+    *,
+    handover: RetryHandover | None = None,
 ) -> Application:
     """Creates the ASGI application for announcements, changes of the store, and quotas.
 
@@ -40,6 +49,7 @@
         neighbours: Receives the announcements.
         change_log: Changes of the store that this host has applied.
         quotas: Answers about quotas; None for no answers.
+        handover: Keeps the retry histories of hosts that stop; None for no answers.
     """
 
     async def answer(path: str, query: dict[str, str]) -> object:
@@ -48,6 +58,10 @@
                 name=query["name"], address=query["address"], data_centre=query["data_centre"]
             )
             return neighbours.on_announcement(host, known_digest=query["digest"])
+        if path == RETRY_HISTORIES_PATH:
+            if handover is None:
+                raise ValueError("no retry histories are kept")
+            return handover.answer(query["host"])
         wait_seconds = min(_MAX_WAIT_SECONDS, _count(query["wait_ms"]) / 1000.0)
         return await change_log.changes_since(_count(query["after"]), wait_seconds=wait_seconds)
 
@@ -58,7 +72,10 @@
         if path in (QUOTA_PATH, DEMAND_PATH) and scope["method"] == "POST" and quotas is not None:
             await _answer_about_quotas(quotas, path, receive, send)
             return
-        if path not in (HOSTS_PATH, CHANGES_PATH):
+        if path == RETRY_HISTORIES_PATH and scope["method"] == "POST" and handover is not None:
+            await _take_retry_histories(handover, receive, send)
+            return
+        if path not in (HOSTS_PATH, CHANGES_PATH, RETRY_HISTORIES_PATH):
             await respond(send, 404, b'{"title": "not found"}\n', _PROBLEM_TYPE)
             return
         try:
@@ -94,6 +111,19 @@
     await respond(send, 200, compress(msgspec.json.encode(reply)), "application/zlib")
 
 
+async def _take_retry_histories(handover: RetryHandover, receive: Receive, send: Send) -> None:
+    """Keeps what a host that stops hands over."""
+    try:
+        handover.on_message(await read_request_body(receive, max_bytes=MAX_HISTORIES_BYTES))
+    except ClientDisconnectedError:
+        return
+    except (RequestTooLargeError, ValueError) as error:
+        detail = msgspec.json.encode({"title": f"unusable message: {error!r}"})
+        await respond(send, 400, detail, _PROBLEM_TYPE)
+        return
+    await respond(send, 200, b"", "application/zlib")
+
+
 def _count(text: str) -> int:
     count = parse_count(text.encode())
     if count is None:
--- a/filbertreach/gateway/_neighbours.py
+++ b/filbertreach/gateway/_neighbours.py
@@ -218,6 +218,16 @@
         """
         return self._first_candidate(self._quota_excluded_until_by_name)
 
+    def candidates(self, count: int) -> list[KnownHost]:
+        """Returns other hosts of this data centre, in the order in which they are tried as reader.
+
+        Args:
+            count: Largest number of hosts.
+        """
+        now = self._clock.now()
+        own = self._own["name"]
+        return [host for host in self._ordered_hosts(now) if host["name"] != own][:count]
+
     def exclude_quota_host(self, name: str) -> None:
         """Excludes a host from the choice of the quota host for some seconds.
 
@@ -238,11 +248,15 @@
         own = self._own["data_centre"]
         return [host for host in self._live_hosts(now) if host["data_centre"] == own]
 
+    def _ordered_hosts(self, now: float) -> list[KnownHost]:
+        """Returns the hosts of this data centre in an order that is the same at all of them."""
+        local = self._local_hosts(now)
+        return sorted(local, key=lambda h: (zlib.crc32(h["name"].encode()), h["name"]))
+
     def _first_candidate(self, excluded_until_by_name: dict[str, float]) -> KnownHost | None:
         """Returns the first host of this data centre that is not excluded, None for this one."""
         now = self._clock.now()
-        local = self._local_hosts(now)
-        for host in sorted(local, key=lambda h: (zlib.crc32(h["name"].encode()), h["name"])):
+        for host in self._ordered_hosts(now):
             if excluded_until_by_name.get(host["name"], now) > now:
                 continue
             return None if host["name"] == self._own["name"] else host
--- a/filbertreach/gateway/_process.py
+++ b/filbertreach/gateway/_process.py
@@ -29,6 +29,7 @@
 from filbertreach.gateway._policy import GatewayPolicy
 from filbertreach.gateway._query import Query, QueryResult
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
+from filbertreach.gateway._retry_handover import RetryHandover
 from filbertreach.observability import Health, get_logger
 from filbertreach.platform import (
     Bounds,
@@ -127,6 +128,12 @@
                 seeds=settings.seed_addresses,
                 clock=self._clock,
             )
+        self.handover: RetryHandover | None = None
+        """Keeps the retry histories of hosts that stop, None without neighbours."""
+        if self.neighbours is not None:
+            self.handover = RetryHandover(
+                host=settings.host, hosts=self.neighbours, budgets=self.directory, clock=self._clock
+            )
         self.quotas = FleetQuotas(
             host=settings.host,
             data_centre=settings.data_centre,
@@ -167,6 +174,9 @@
         if self.neighbours is not None:
             await self._stack.enter_async_context(self.neighbours)
             self._group.start_soon(self.neighbours.run)
+        if self.handover is not None:
+            await self._stack.enter_async_context(self.handover)
+            self._group.start_soon(self.handover.run)
         self._group.start_soon(follower.run)
         self._timers.subscribe(
             name="tidy", interval_seconds=_MAINTENANCE_SECONDS, callback=self._run_maintenance
--- a/filbertreach/gateway/_retry_budget.py
+++ b/filbertreach/gateway/_retry_budget.py
@@ -63,11 +63,24 @@
         self.reserve = self._total_slack / host_count - self.slack if host_count > 1 else 0.0
 
 
-class _Slice(NamedTuple):
+class EventSlice(NamedTuple):
+    """Events that happened within a slice of a window."""
+
     start: float
     """Clock, in seconds."""
     events: int
-    """Events that happened in it."""
+    """Number of events."""
+
+
+class BudgetHistory(NamedTuple):
+    """What the budget of a service depends on, of one host."""
+
+    first_request_at: float
+    """Clock of the first request, in seconds."""
+    requests: tuple[EventSlice, ...]
+    """Requests of the window and of the one before it, oldest first."""
+    extra_calls: tuple[EventSlice, ...]
+    """Extra calls of the window, oldest first."""
 
 
 class _SlicedCount:
@@ -76,21 +89,31 @@
     def __init__(self) -> None:
         self.total = 0
         """Events that were added and not removed."""
-        self._slices: deque[_Slice] = deque()
+        self._slices: deque[EventSlice] = deque()
         """Oldest first."""
 
+    @property
+    def slices(self) -> tuple[EventSlice, ...]:
+        """The slices, oldest first."""
+        return tuple(self._slices)
+
     def add_event(self, now: float, *, slice_seconds: float) -> None:
         if not self._slices or now - self._slices[-1].start >= slice_seconds:
-            self._slices.append(_Slice(now, 0))
+            self._slices.append(EventSlice(now, 0))
         newest = self._slices[-1]
-        self._slices[-1] = _Slice(newest.start, newest.events + 1)
+        self._slices[-1] = EventSlice(newest.start, newest.events + 1)
         self.total += 1
 
-    def add_slice(self, added: _Slice) -> None:
+    def add_slice(self, added: EventSlice) -> None:
         self._slices.append(added)
         self.total += added.events
 
-    def remove_before(self, time: float) -> list[_Slice]:
+    def merge(self, added: tuple[EventSlice, ...]) -> None:
+        """Adds slices of any time."""
+        self._slices = deque(sorted((*self._slices, *added)))
+        self.total += sum(item.events for item in added)
+
+    def remove_before(self, time: float) -> list[EventSlice]:
         """Removes the slices that start before a time, and returns them."""
         removed = []
         while self._slices and self._slices[0].start < time:
@@ -102,12 +125,14 @@
 class RetryBudget:
     """Counts requests and extra calls of one service in a sliding window.
 
-    Hosts do not coordinate their budgets. Each host applies the ratio to the requests that it
-    received itself, so the sum over all hosts stays within the ratio as well.
+    Each host applies the ratio to the requests that it received itself, so the sum over all hosts
+    stays within the ratio as well.
 
     When callers change hosts, requests of the same callers would allow extra calls on the old host
     and, in the same window, on the new one. So requests beyond those of the window before allow no
-    more extra calls than the reserve: a budget grows with its traffic one window later.
+    more extra calls than the reserve: a budget grows with its traffic one window later. A host that
+    starts does not know the window before, and continues with the history of the process that
+    stopped (`RetryHistoryBoard`).
     """
 
     def __init__(self, *, settings: RetryBudgetSettings) -> None:
@@ -154,6 +179,41 @@
         self._extra_calls.add_event(now, slice_seconds=self._slice_seconds)
         return True
 
+    def history(self, now: float) -> BudgetHistory | None:
+        """Returns what the next process of this host has to know; None if nothing was counted.
+
+        Args:
+            now: Current clock, in seconds.
+        """
+        self._advance(now)
+        requests = (
+            *self._earlier_requests.slices,
+            *self._straddling_requests.slices,
+            *self._requests.slices,
+        )
+        if not requests:
+            return None
+        return BudgetHistory(self._first_request_at, requests, self._extra_calls.slices)
+
+    def restore(self, history: BudgetHistory, now: float) -> None:
+        """Continues with the history of the process that ran on this host before.
+
+        A history that ended more than a window ago says nothing about the current callers, and a
+        process that has run for a window knows them itself; neither is changed.
+
+        Args:
+            history: The history.
+            now: Current clock, in seconds.
+        """
+        self._advance(now)
+        window = self._settings.window_seconds
+        if now - self._first_request_at >= window or history.requests[-1].start < now - window:
+            return
+        self._first_request_at = min(self._first_request_at, history.first_request_at)
+        self._requests.merge(history.requests)
+        self._extra_calls.merge(history.extra_calls)
+        self._advance(now)
+
     @property
     def remaining(self) -> float:
         """Extra calls that the window still has room for."""
--- a/filbertreach/gateway/tests/test_retry_budget.py
+++ b/filbertreach/gateway/tests/test_retry_budget.py
@@ -3,7 +3,13 @@
 import pytest
 
 from filbertreach.gateway._retry_budget import RetryBudget, RetryBudgetSettings
+from filbertreach.gateway._retry_history import (
+    RetryHistoryBoard,
+    decode_histories,
+    encode_histories,
+)
 from filbertreach.platform import Bounds
+from filbertreach.schema import RetryHistories
 
 _BOUNDS = Bounds(5.0, 5.0, 6.0, 0.2, 10.0, 186.0)
 
@@ -66,8 +72,26 @@
         settings = RetryBudgetSettings()
         settings.update(_BOUNDS._replace(retry_slack=0.0))
         self._budget = RetryBudget(settings=settings)
+        self._board = RetryHistoryBoard()
         self.extra_at: list[float] = []
 
+    def stop(self, name: str, now: float) -> list[RetryHistories]:
+        """Returns the messages with which it hands over what it knows."""
+        history = self._budget.history(now)
+        own = {} if history is None else {"fleet": history}
+        return [*self._board.messages(now), encode_histories(name, own, now)]
+
+    def on_stop_of_other(self, messages: list[RetryHistories], now: float) -> None:
+        for message in messages:
+            self._board.on_message(message, now)
+
+    def start(self, name: str, others: list["_Host"], now: float) -> None:
+        """Asks the other hosts, which are up, for what its last process knew."""
+        for other in others:
+            for history in decode_histories(other._board.message_of(name, now), now).values():
+                self._budget.restore(history, now)
+                return
+
     def receive(self, now: float, *, fails: bool) -> None:
         self._budget.count_request(now)
         if fails:
@@ -110,17 +134,31 @@
     # are on hosts that have just started.
     host_count, step_seconds = 3, 4.0
     hosts = [_Host() for _ in range(host_count)]
+    was_up = [True] * host_count
     extra_at = []
     for step in range(5000):
         now = step / 100.0
         up = []
+        is_up = []
         for number in range(host_count):
             down_at = 20.0 + number * step_seconds
-            if down_at <= now < down_at + down_seconds:
+            is_up.append(not down_at <= now < down_at + down_seconds)
+        for number in range(host_count):
+            name = f"front-{number}"
+            others = [hosts[n] for n in range(host_count) if n != number and is_up[n]]
+            if was_up[number] and not is_up[number]:
+                # It stops gracefully and hands its counts to two other hosts.
+                messages = hosts[number].stop(name, now)
+                for other in others[:2]:
+                    other.on_stop_of_other(messages, now)
+            if is_up[number] and not was_up[number]:
+                hosts[number].start(name, others, now)
+            if not is_up[number]:
                 extra_at += hosts[number].extra_at
                 hosts[number] = _Host()
             else:
                 up.append(hosts[number])
+        was_up = is_up
         for request in range(host_count):
             up[(step * host_count + request) % len(up)].receive(now, fails=now >= fails_from)
     extra_at += [at for host in hosts for at in host.extra_at]
--- a/filbertreach/schema/_generated_messages.py
+++ b/filbertreach/schema/_generated_messages.py
@@ -617,6 +617,48 @@
     """
 
 
+class RetryHistory(TypedDict):
+    """
+    Requests and extra calls of one service at a host that has stopped.
+    """
+
+    service: str
+    """
+    Service name.
+    """
+    known_ms: NonNegativeInt64
+    """
+    Time from the first request to the stop, in milliseconds.
+    """
+    requests: list[list[NonNegativeInt64]]
+    """
+    Requests as pairs of an age at the stop in milliseconds and a number, oldest first.
+    """
+    extra_calls: list[list[NonNegativeInt64]]
+    """
+    Retries and hedges, likewise.
+    """
+
+
+class RetryHistories(TypedDict):
+    """
+    What a host that stops hands over about its retry budgets, or what a host that starts is told about them.
+    """
+
+    host: str
+    """
+    Name of the host.
+    """
+    stopped_ms: NonNegativeInt64
+    """
+    Time since the host stopped, in milliseconds.
+    """
+    histories: list[RetryHistory]
+    """
+    One for each service; empty if nothing is known of the host.
+    """
+
+
 class QuotaRequest(TypedDict):
     """
     What a gateway asks of the quota host of its data centre.
