A host that stops hands over its retry budgets to both holders at once

Cause: the holders were told one after the other in the twentieth of the grace period that is left for it, so a paused one kept the other from being told.

Change: both are told at the same time, this host's own counts first.

Test: a process that is restarted gets its counts from the others (tests/test_retry_handover.py, with processes); it fails without the call at the stop (seen). That a paused holder delays nobody has no test.

--- a/filbertreach/gateway/_retry_handover.py
+++ b/filbertreach/gateway/_retry_handover.py
@@ -149,17 +149,19 @@
         """Hands the histories of this host, and those that it holds, to other hosts."""
         now = self._clock.now()
         own = encode_histories(self._host, self._budgets.retry_histories(), now)
-        messages = [*self.board.messages(now), own]
-        for holder in self._hosts.candidates(_HOLDERS):
-            try:
-                # This host's own histories go first, as the time for the stop is short.
-                for message in reversed(messages):
-                    body = zlib.compress(msgspec.json.encode(message), 1)
-                    await self._exchange(holder, "POST", RETRY_HISTORIES_PATH, body)
-            except ExchangeError as error:
-                _LOGGER.info(
-                    "retry histories not handed over", holder=holder["name"], error=str(error)
-                )
+        # This host's own histories go first, as the time for the stop is short.
+        messages = [own, *self.board.messages(now)]
+        async with anyio.create_task_group() as group:
+            for holder in self._hosts.candidates(_HOLDERS):
+                group.start_soon(self._hand_to, holder, messages)
+
+    async def _hand_to(self, holder: KnownHost, messages: list[RetryHistories]) -> None:
+        try:
+            for message in messages:
+                body = zlib.compress(msgspec.json.encode(message), 1)
+                await self._exchange(holder, "POST", RETRY_HISTORIES_PATH, body)
+        except ExchangeError as error:
+            _LOGGER.info("retry histories not handed over", holder=holder["name"], error=str(error))
 
     async def _exchange(
         self, holder: KnownHost, method: str, target: str, body: bytes | None = None
