Tests of the gateway's command line reserve their ports

Found: it took ephemeral ports and closed them before the gateway bound them, so another process could get them. With a port that another process listens at, the test would send SIGTERM before the gateway has its handlers. Whether this was the cause is not shown: the test passed 20 times alone before the change, and 20 times in a set with 2 workers after it, beside two busy processes.

Change: the ports are reserved like those of the other tests (filbertreach_standins/ports.py). What the tests check is the same.

--- a/filbertreach/gateway/tests/test_command.py
+++ b/filbertreach/gateway/tests/test_command.py
@@ -11,6 +11,8 @@
 import pytest
 
 from filbertreach.platform import load_boot
+from filbertreach.schema import parse_address
+from filbertreach_standins.ports import free_address
 
 _SETTINGS = """
 node_name = "front-1"
@@ -34,14 +36,10 @@
 """
 
 
-def _free_port() -> int:
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return int(listener.getsockname()[1])
-
-
 def _write(path: pathlib.Path) -> tuple[int, int]:
-    ports = _free_port(), _free_port()
+    # Not ephemeral ports: the kernel may choose such a port as the source of a probe, which then
+    # connects to itself, or give it to another process before the gateway binds it.
+    ports = parse_address(free_address())[1], parse_address(free_address())[1]
     path.write_text(_SETTINGS.format(front=ports[0], ready=ports[1]))
     return ports
 
