--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -18,6 +18,7 @@
 )
 from filbertreach.gateway._cold_bound import ColdBound
 from filbertreach.gateway._exchange import Exchange
+from filbertreach.gateway._idle_connections import keeping_share
 from filbertreach.gateway._leaf_connection import LeafConnection
 from filbertreach.gateway._leaf_departures import LeafDepartures
 from filbertreach.gateway._leaf_handle import LeafHandle, Location
@@ -109,7 +110,8 @@
         self._spill_over_log = spill_over_log
         self._sent_out_reason: SpillReason | None = None
         """Why the leaf that was chosen last is in another data centre."""
-        self._connections = _DEFAULT_CONNECTIONS
+        self._connections: int | None = None
+        """Connections that each leaf accepts; None if the configuration does not say."""
         self._cold_per_second: float | None = None
         self._cold_bound = cold_bound or ColdBound()
         self._load_return = load_return
@@ -152,7 +154,11 @@
 
     def _update_connection_limits(self) -> None:
         for handle in self.handle_by_id.values():
-            handle.max_connections = self._connections_per_host()
+            self._set_connection_limits(handle)
+
+    def _set_connection_limits(self, handle: LeafHandle) -> None:
+        handle.max_connections = self._connections_per_host()
+        handle.keeping_share = keeping_share(hosts=self._host_count, connections=self._connections)
 
     def update_leaf(self, entry: LeafEntry, *, since: float) -> None:
         """Adds a leaf, or updates it from its entry.
@@ -181,6 +187,7 @@
                 cold_bound=self._cold_bound,
                 clock=self._clock,
             )
+            self._set_connection_limits(handle)
             handle.request_limit.cold_per_second = self._cold_per_second
             handle.retry_hold = self._hold_by_process.get(entry.process, handle.retry_hold)
             if self._spill_over is not None:
@@ -652,4 +659,4 @@
 
     def _connections_per_host(self) -> int:
         sharing_hosts = max(_MIN_SHARING_HOSTS, self._host_count or 0)
-        return max(1, self._connections // sharing_hosts)
+        return max(1, (self._connections or _DEFAULT_CONNECTIONS) // sharing_hosts)
