Leaf observations: what a host observes, merging for a data centre, and states

Each host detects a failing or slow leaf only by a call of its own, so all hosts of a data centre pay a lost call or a hedge for it separately.

The new package decides, without I/O, what a host observes from the outcomes and times of its calls (LeafObserver), which leaves are listed by the reports of all hosts (ObservationBoard: two hosts or three calls of one host within 2 s, contradiction by good answers, at most a tenth of the leaves by the word of one host), and which state a gateway applies (LeafStates: the own fresh answer takes precedence, 2 s).

--- /dev/null
+++ b/filbertreach/leaf_observations/_board.py
@@ -0,0 +1,232 @@
+"""Merging of what the hosts of a data centre observe, at the host that they report to."""
+
+import random
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from filbertreach.leaf_observations._observer import Observation, ObservationKind
+from filbertreach.leaf_observations._states import (
+    MAX_FACTOR,
+    MIN_FACTOR,
+    STATE_SECONDS,
+    LeafState,
+)
+
+_MIN_CALLS_OF_ONE_HOST = 3
+"""Calls within `STATE_SECONDS` by which one host alone shows an exception."""
+_MIN_HOSTS = 2
+"""Hosts that together show an exception, and that together show its end."""
+_ONE_HOST_FRACTION = 0.1
+"""Largest fraction of the leaves that count as exceptions by the word of one host each."""
+_DISTRUST_SECONDS = 30.0
+"""Time for which a host is not believed alone after another host had a good answer in the middle of
+its observations of an exception."""
+_MIN_CONFIRMATION_SECONDS = 0.5
+"""A state is sent again once its newest observation is this much newer than the one sent. Shorter
+intervals would send a message to all hosts for each observation."""
+_MAX_LEAVES = 2000
+"""Leaves with observations; those of further leaves are ignored."""
+_MAX_REVISION = 2**48
+"""Revisions begin at a random number, so that a host that has followed another board, or this one
+before a restart, does not take its revision for this one's."""
+
+
+class _Word(NamedTuple):
+    """What one host says of one leaf."""
+
+    kind: ObservationKind
+    """The exception, or that the leaf is healthy."""
+    factor: float
+    """Slowness in its last observation."""
+    calls_by_time: tuple[tuple[float, int], ...]
+    """Clock and number of calls of the observations of this kind that count, oldest first."""
+
+    @property
+    def first_at(self) -> float:
+        """Clock of the oldest observation, in seconds."""
+        return self.calls_by_time[0][0]
+
+    @property
+    def at(self) -> float:
+        """Clock of the newest observation, in seconds."""
+        return self.calls_by_time[-1][0]
+
+    @property
+    def calls(self) -> int:
+        """Number of calls observed."""
+        return sum(calls for _, calls in self.calls_by_time)
+
+
+class StateChange(NamedTuple):
+    """A change of the merged state of a leaf."""
+
+    leaf_id: str
+    """Id of the leaf."""
+    old: LeafState | None
+    """State before, None for a healthy leaf."""
+    new: LeafState | None
+    """State after, None for a healthy leaf."""
+
+
+class ObservationBoard:
+    """Merges the observations of the hosts of a data centre; without I/O.
+
+    A leaf is listed once two hosts observe an exception within 2 s, or one host in three calls. The
+    word of one host counts only until another host has had a good answer, and only for some leaves.
+    """
+
+    def __init__(
+        self,
+        *,
+        leaf_count: Callable[[], int],
+        draw: Callable[[], float] = random.random,
+    ) -> None:
+        """Creates a board without observations.
+
+        Args:
+            leaf_count: Returns the number of leaves in use.
+            draw: Returns random numbers, at least 0 and below 1.
+        """
+        self.revision = 1 + int(draw() * _MAX_REVISION)
+        """Number of the states as they were published last; never 0."""
+        self.state_by_leaf: dict[str, LeafState] = {}
+        """States as they were published last, by leaf id."""
+        self._leaf_count = leaf_count
+        self._words_by_leaf: dict[str, dict[str, _Word]] = {}
+        """Words of the hosts, by leaf id and host."""
+        self._distrusted_until_by_host: dict[str, float] = {}
+        self._one_host_since_by_leaf: dict[str, float] = {}
+        """Clock since which a leaf is listed by the word of one host."""
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no observation counts."""
+        return not self._words_by_leaf and not self.state_by_leaf
+
+    def record(self, host: str, observation_by_leaf: Mapping[str, Observation], now: float) -> None:
+        """Records a report; `update` applies it.
+
+        Args:
+            host: Host that observed.
+            observation_by_leaf: Its observations, by leaf id.
+            now: Current clock, in seconds.
+        """
+        for leaf_id, observation in observation_by_leaf.items():
+            at = min(observation.at, now)
+            if now - at >= STATE_SECONDS:
+                continue
+            words = self._words_by_leaf.get(leaf_id)
+            if words is None:
+                if len(self._words_by_leaf) >= _MAX_LEAVES:
+                    continue
+                words = self._words_by_leaf[leaf_id] = {}
+            entry = (at, max(1, observation.calls))
+            known = words.get(host)
+            if known is not None and known.kind == observation.kind and known.at <= at:
+                recent = [(t, n) for t, n in known.calls_by_time if now - t < STATE_SECONDS]
+                words[host] = _Word(observation.kind, observation.factor, (*recent, entry))
+            elif known is None or known.at <= at:
+                words[host] = _Word(observation.kind, observation.factor, (entry,))
+
+    def update(self, now: float) -> list[StateChange]:
+        """Merges the observations, and publishes states that have changed.
+
+        Args:
+            now: Current clock, in seconds.
+
+        Returns:
+            The leaves that were listed, have changed their kind, or are no longer listed.
+        """
+        self._remove_expired(now)
+        merged = self._merge(now)
+        old = self.state_by_leaf
+        changes = [
+            StateChange(leaf_id, old.get(leaf_id), merged.get(leaf_id))
+            for leaf_id in old.keys() | merged.keys()
+            if _kind(old.get(leaf_id)) != _kind(merged.get(leaf_id))
+        ]
+        # Hosts that follow the board know by themselves when a state ends without a confirmation.
+        is_news = any(
+            c.new is not None or (c.old is not None and now < c.old.ends_at) for c in changes
+        )
+        is_confirmed = any(
+            leaf_id in old
+            and state.confirmed_at - old[leaf_id].confirmed_at >= _MIN_CONFIRMATION_SECONDS
+            for leaf_id, state in merged.items()
+        )
+        if is_news or is_confirmed:
+            self.revision += 1
+            self.state_by_leaf = merged
+        elif changes:
+            self.state_by_leaf = {k: s for k, s in old.items() if k in merged}
+        return changes
+
+    def _remove_expired(self, now: float) -> None:
+        for leaf_id, words in list(self._words_by_leaf.items()):
+            for host, word in list(words.items()):
+                if now - word.at >= STATE_SECONDS:
+                    del words[host]
+                elif now - word.first_at >= STATE_SECONDS:
+                    recent = tuple((t, n) for t, n in word.calls_by_time if now - t < STATE_SECONDS)
+                    words[host] = word._replace(calls_by_time=recent)
+            if not words:
+                del self._words_by_leaf[leaf_id]
+        for host, until in list(self._distrusted_until_by_host.items()):
+            if now >= until:
+                del self._distrusted_until_by_host[host]
+
+    def _merge(self, now: float) -> dict[str, LeafState]:
+        merged: dict[str, LeafState] = {}
+        of_one_host: dict[str, LeafState] = {}
+        for leaf_id, words in self._words_by_leaf.items():
+            exceptions = {host: w for host, w in words.items() if w.kind != "healthy"}
+            healthy = [w for w in words.values() if w.kind == "healthy"]
+            if len(exceptions) >= _MIN_HOSTS:
+                newest_at = max(word.at for word in exceptions.values())
+                if sum(word.at > newest_at for word in healthy) < _MIN_HOSTS:
+                    merged[leaf_id] = _merge_words(list(exceptions.values()))
+            elif exceptions:
+                ((host, word),) = exceptions.items()
+                if self._is_believed_alone(host, word, healthy, now):
+                    of_one_host[leaf_id] = _merge_words([word])
+        merged.update(self._limit_words_of_one_host(of_one_host, now))
+        return merged
+
+    def _is_believed_alone(self, host: str, word: _Word, healthy: list[_Word], now: float) -> bool:
+        contradictions = [other.at for other in healthy if other.at > word.first_at]
+        if any(at < word.at for at in contradictions):
+            # Only this host observes the exception: it or its link is at fault.
+            self._distrusted_until_by_host[host] = now + _DISTRUST_SECONDS
+        return (
+            not contradictions
+            and word.calls >= _MIN_CALLS_OF_ONE_HOST
+            and host not in self._distrusted_until_by_host
+        )
+
+    def _limit_words_of_one_host(
+        self, states: dict[str, LeafState], now: float
+    ) -> dict[str, LeafState]:
+        """Returns as many of these states as may count, those that were listed first."""
+        since_by_leaf = {
+            leaf_id: self._one_host_since_by_leaf.get(leaf_id, now) for leaf_id in states
+        }
+        most = max(1, int(_ONE_HOST_FRACTION * self._leaf_count()))
+        listed = sorted(states, key=lambda leaf_id: (since_by_leaf[leaf_id], leaf_id))[:most]
+        self._one_host_since_by_leaf = {leaf_id: since_by_leaf[leaf_id] for leaf_id in listed}
+        return {leaf_id: states[leaf_id] for leaf_id in listed}
+
+
+def _merge_words(words: list[_Word]) -> LeafState:
+    """Returns the state that words of exceptions show together."""
+    confirmed_at = max(word.at for word in words)
+    slow = sorted(word.factor for word in words if word.kind == "slow")
+    failing_count = len(words) - len(slow)
+    if not slow or failing_count >= _MIN_HOSTS:
+        return LeafState("failing", 1.0, confirmed_at, len(words))
+    factor = slow[(len(slow) - 1) // 2]
+    factor = min(max(factor, MIN_FACTOR), MAX_FACTOR)
+    return LeafState("slow", factor, confirmed_at, len(words))
+
+
+def _kind(state: LeafState | None) -> str | None:
+    return None if state is None else state.kind
--- /dev/null
+++ b/filbertreach/leaf_observations/_client.py
@@ -0,0 +1,113 @@
+"""HTTP exchanges about leaves with the gateway that merges the observations."""
+
+import contextlib
+import urllib.parse
+import zlib
+from types import TracebackType
+from typing import Self
+
+import msgspec
+
+from filbertreach.leaf_observations._metrics import OBSERVATION_EXCHANGES
+from filbertreach.platform import ExchangeError, HttpChannel, HttpResponse
+from filbertreach.schema import JsonDecoder, LeafReports, MergedLeafStates, base_url
+
+REPORTS_PATH = "/v1/leaf-reports"
+"""Path at which a gateway takes the observations of others."""
+STATES_PATH = "/v1/leaf-states"
+"""Path at which a gateway answers with the merged states."""
+REQUEST_TIMEOUT_SECONDS = 0.7
+"""Timeout of an exchange, in addition to the wait that it requests."""
+_MAX_MESSAGE_BYTES = 1024 * 1024
+"""Bytes of a decompressed message; a state has about 100."""
+
+_STATES_DECODER = JsonDecoder(message=MergedLeafStates)
+
+
+class ObservationError(Exception):
+    """Another gateway gave no usable answer about leaves."""
+
+
+class ObservationClient:
+    """Connections to gateways that merge observations; a context manager."""
+
+    def __init__(self) -> None:
+        """Creates a client without connections; they are opened when needed."""
+        self._channel_by_target: dict[tuple[str, str], HttpChannel] = {}
+
+    async def __aenter__(self) -> Self:
+        """Returns the client."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Closes all connections."""
+        async with contextlib.AsyncExitStack() as stack:
+            for channel in self._channel_by_target.values():
+                stack.push_async_exit(channel)
+
+    async def report(self, address: str, reports: LeafReports) -> None:
+        """Sends observations.
+
+        Args:
+            address: ip:port of the gateway that merges them.
+            reports: The observations.
+
+        Raises:
+            ObservationError: The gateway did not take them in time.
+        """
+        try:
+            answer = await self._channel(address, REPORTS_PATH).exchange(
+                method="POST", target=REPORTS_PATH, body=msgspec.json.encode(reports)
+            )
+            _check_status(answer)
+        except (ExchangeError, ObservationError) as error:
+            OBSERVATION_EXCHANGES.labels("report", "failed").inc()
+            raise ObservationError(f"{address}: {error}") from error
+        OBSERVATION_EXCHANGES.labels("report", "answered").inc()
+
+    async def fetch_states(
+        self, address: str, *, after: int, wait_seconds: float
+    ) -> MergedLeafStates:
+        """Requests the merged states.
+
+        Args:
+            address: ip:port of the gateway that merges the observations.
+            after: Revision that this host has; 0 for none.
+            wait_seconds: Longest wait while that is the current revision, in seconds.
+
+        Raises:
+            ObservationError: There was no usable answer in time.
+        """
+        query = urllib.parse.urlencode({"after": after, "wait_ms": round(wait_seconds * 1000)})
+        try:
+            answer = await self._channel(address, STATES_PATH).exchange(
+                method="GET", target=f"{STATES_PATH}?{query}", extra_seconds=wait_seconds
+            )
+            _check_status(answer)
+            text = zlib.decompressobj().decompress(answer.body, _MAX_MESSAGE_BYTES)
+            states = _STATES_DECODER.decode(text)
+        except (ExchangeError, ObservationError, ValueError, zlib.error) as error:
+            OBSERVATION_EXCHANGES.labels("poll", "failed").inc()
+            raise ObservationError(f"{address}: {error}") from error
+        OBSERVATION_EXCHANGES.labels("poll", "answered").inc()
+        return states
+
+    def _channel(self, address: str, path: str) -> HttpChannel:
+        # A timeout of one path gives up the connections of its channel, so each has its own.
+        channel = self._channel_by_target.get((address, path))
+        if channel is None:
+            channel = HttpChannel(
+                base_url=base_url(address), timeout_seconds=REQUEST_TIMEOUT_SECONDS
+            )
+            self._channel_by_target[address, path] = channel
+        return channel
+
+
+def _check_status(answer: HttpResponse) -> None:
+    if answer.status != 200:
+        raise ObservationError(f"status {answer.status}")
--- a/filbertreach/schema/_generated_messages.py
+++ b/filbertreach/schema/_generated_messages.py
@@ -744,6 +744,94 @@
     """
 
 
+class LeafObservation(TypedDict):
+    """
+    What a gateway has observed at a leaf since its last report.
+    """
+
+    leaf: str
+    """
+    Id of the leaf.
+    """
+    kind: Literal['failing', 'slow', 'healthy']
+    """
+    The exception, or that the leaf is healthy again.
+    """
+    calls: NonNegativeInt64
+    """
+    Number of calls that show it.
+    """
+    factor: float
+    """
+    Time of the slowest call as a multiple of the usual time; 1 unless the leaf is slow.
+    """
+    age_seconds: float
+    """
+    Time since the last of these calls ended.
+    """
+
+
+class LeafReports(TypedDict):
+    """
+    Observations of a gateway, for the gateway of its data centre that merges them.
+    """
+
+    host: str
+    """
+    Name of the host that observed.
+    """
+    observations: list[LeafObservation]
+    """
+    Observations, at most one for each leaf.
+    """
+
+
+class MergedLeafState(TypedDict):
+    """
+    An exception that the hosts of a data centre observe at a leaf.
+    """
+
+    leaf: str
+    """
+    Id of the leaf.
+    """
+    kind: Literal['failing', 'slow']
+    """
+    The exception.
+    """
+    factor: float
+    """
+    Time of its calls as a multiple of the usual time; 1 for a failing leaf.
+    """
+    age_seconds: float
+    """
+    Time since the newest observation of the exception.
+    """
+    hosts: NonNegativeInt64
+    """
+    Number of hosts that observe it.
+    """
+
+
+class MergedLeafStates(TypedDict):
+    """
+    Leaves at which the hosts of a data centre observe exceptions.
+    """
+
+    revision: NonNegativeInt64
+    """
+    Number of this version of the states.
+    """
+    waited_seconds: float
+    """
+    Time from the arrival of the poll to this answer.
+    """
+    states: list[MergedLeafState]
+    """
+    All exceptions in force.
+    """
+
+
 class Frame(TypedDict):
     """
     Unit of transfer between two processes; carries many messages.
