Gateway: the choice of a leaf applies what other hosts observe

A leaf that is observed as failing gets a first attempt with probability 1/hosts, as a probe; otherwise another leaf gets the call, unless none can take it. Retries, hedges and requests that may not be repeated are never probes. The turn of an avoided leaf counts as used; otherwise all hosts would send their next call to a leaf that has just recovered. The expected time of a slow leaf is multiplied by the reported factor, in the spill-over policy too. Request limits, Retry-After, home regions, evacuation and leaving leaves are applied before. Without a policy section nothing changes.

A connection that can't be opened is not reported, as leaves refuse connections beyond max_conns.

--- a/filbertreach/decisions/_leaf.py
+++ b/filbertreach/decisions/_leaf.py
@@ -6,6 +6,7 @@
 from typing import Literal
 
 from filbertreach.decisions._limits import ConcurrencyLimit
+from filbertreach.decisions._observed_slowness import ObservedSlowness
 from filbertreach.document import Leaf, Pool
 
 LeafState = Literal["starting", "ready", "draining", "suspect"]
@@ -120,6 +121,8 @@
         self._backoff = 0.0
         self._probe_at = -math.inf
         self._last_started_at = -math.inf
+        self.last_turn_at = -math.inf
+        """When a call was last sent, or the leaf was passed over, in seconds."""
         self._latency_updated_at = -math.inf
         self._reported_load_of_others = 0
         self._reported_at = -math.inf
@@ -132,6 +135,8 @@
         """Slowdown reported with the answer whose latency is recorded next."""
         self.reported_load = 0
         """Calls in flight and queued in the last load report, however old."""
+        self.observed_slowness = ObservedSlowness()
+        """Slowness that other hosts observe."""
 
     @property
     def state(self) -> LeafState:
@@ -178,6 +183,7 @@
         """
         bisect.insort(self._started_at, now)
         self._last_started_at = now
+        self.last_turn_at = now
 
     def record_finish(self, outcome: LeafOutcome, latency_seconds: float, now: float) -> None:
         """Records that a call ended.
@@ -262,6 +268,7 @@
             Seconds, including the expected cost of failures.
         """
         latency = self._estimate_latency(now, typical_seconds) * self.slowdown_scale(now)
+        latency = self.observed_slowness.raise_estimate(latency, typical_seconds, now)
         slots = self.pool.slots
         ahead = self.in_flight + self._load_of_others(now)
         waiting = max(0.0, ahead + 1 - slots) / slots
--- /dev/null
+++ b/filbertreach/decisions/_observed_slowness.py
@@ -0,0 +1,44 @@
+"""How slow other hosts observe a leaf."""
+
+import math
+
+
+class ObservedSlowness:
+    """A factor on the time of calls to one leaf that ends by itself."""
+
+    def __init__(self) -> None:
+        """Creates the slowness of a leaf that is not observed as slow."""
+        self._factor = 1.0
+        self._until = -math.inf
+
+    def set(self, factor: float, until: float) -> None:
+        """Sets the slowness.
+
+        Args:
+            factor: Time of a call as a multiple of the usual one, at least 1.
+            until: When it ends, in seconds of the dispatch clock.
+        """
+        self._factor = factor
+        self._until = until
+
+    def factor(self, now: float) -> float:
+        """Returns the factor, 1 if there is no slowness.
+
+        Args:
+            now: Seconds of the dispatch clock.
+        """
+        return self._factor if now < self._until else 1.0
+
+    def raise_estimate(self, seconds: float, usual_seconds: float, now: float) -> float:
+        """Returns the expected time of a call with the slowness.
+
+        Slow calls of this sender are part of its estimate already, so they don't count twice.
+
+        Args:
+            seconds: Estimate by the calls of this sender.
+            usual_seconds: Time of calls of the same kind at other leaves.
+            now: Seconds of the dispatch clock.
+        """
+        if now >= self._until:
+            return seconds
+        return max(seconds, self._factor * min(seconds, usual_seconds))
--- a/filbertreach/decisions/_replicas.py
+++ b/filbertreach/decisions/_replicas.py
@@ -121,7 +121,7 @@
             for tracker in trackers
             if seconds_by_id.get(tracker.leaf.id, math.inf) <= _EQUAL_TIME_RATIO * least_seconds
         ]
-        return min(equally_fast, key=lambda t: (t.in_flight / t.pool.slots, t.last_started_at))
+        return min(equally_fast, key=lambda t: (t.in_flight / t.pool.slots, t.last_turn_at))
 
     def _due_probe(self, trackers: Sequence[LeafTracker], now: float) -> LeafTracker | None:
         """Returns a leaf that is due for a probe, if another leaf could take over the call."""
--- a/filbertreach/decisions/_spill_over.py
+++ b/filbertreach/decisions/_spill_over.py
@@ -511,6 +511,7 @@
         tracker = candidate.tracker
         slots = tracker.pool.slots
         idle_seconds = self._idle_seconds(candidate, now) * tracker.slowdown_scale(now)
+        idle_seconds *= tracker.observed_slowness.factor(now)
         waiting = max(0.0, self._load(candidate, now) + 1.0 - slots) / slots
         seconds = idle_seconds + wait_weight * waiting * self._work
         idle_for = 0.0 if tracker.in_flight else max(0.0, now - tracker.last_started_at)
--- a/filbertreach/gateway/_route_latencies.py
+++ b/filbertreach/gateway/_route_latencies.py
@@ -9,6 +9,9 @@
 _ALL_ATTEMPTS_QUANTILE = 0.95
 """Quantile of the latency of all attempts that is reserved instead while too few extra attempts
 have been answered."""
+_USUAL_QUANTILE = 0.9
+"""Quantile of the latency of all attempts that counts as usual. Calls that take a multiple of the
+median are common at healthy leaves."""
 _MIN_DELAY_MEDIANS = 1.5
 """Smallest hedging delay in median latencies, even if the hedge then answers after the target."""
 
@@ -39,6 +42,11 @@
         """Median latency of all attempts in seconds; None while too few have been answered."""
         return self._attempts.quantile(0.5)
 
+    @property
+    def usual_seconds(self) -> float | None:
+        """Time within which most attempts are answered; None while too few have been."""
+        return self._attempts.quantile(_USUAL_QUANTILE)
+
     def hedge_delay_seconds(self, target_in_seconds: float) -> float:
         """Returns how long to wait for an attempt that is sent now before sending a hedge.
 
--- a/filbertreach/gateway/_service_call.py
+++ b/filbertreach/gateway/_service_call.py
@@ -474,7 +474,7 @@
                 self._record_reports(handle, exchange, result, now)
             if exchange.abandoned and outcome is not LeafOutcome.OK:
                 outcome = LeafOutcome.CANCELLED
-            self.pool.record_finish(handle, exchange, outcome)
+            self.pool.record_finish(handle, exchange, outcome, self._context.attempt_latencies)
         _OUTCOMES[outcome].inc()
         if self.done:
             return
--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -19,9 +19,11 @@
 from filbertreach.gateway._leaf_connection import LeafConnection
 from filbertreach.gateway._leaf_departures import LeafDepartures
 from filbertreach.gateway._leaf_handle import LeafHandle, Location
+from filbertreach.gateway._observed_leaves import ObservedLeaves
 from filbertreach.gateway._request_turns import TurnSchedule
 from filbertreach.gateway._retry_budget import RetryBudget, RetryBudgetSettings
 from filbertreach.gateway._retry_hold import RetryHold
+from filbertreach.gateway._route_latencies import RouteLatencies
 from filbertreach.gateway._spill_over_log import SpillOverLog
 from filbertreach.observability import get_logger
 from filbertreach.platform import LeafAnswer, LeafEntry
@@ -67,6 +69,7 @@
         admission: bool = False,
         spill_over: SpillPolicy | None = None,
         spill_over_log: SpillOverLog | None = None,
+        observed: ObservedLeaves | None = None,
     ) -> None:
         """Creates a pool without leaves.
 
@@ -83,6 +86,7 @@
             spill_over: Decides what is sent to other data centres; None to prefer near leaves by
                 fixed penalties.
             spill_over_log: Counts the calls sent out; None to count none.
+            observed: Observations that hosts share; None to use those of this host alone.
         """
         self.service = service
         self.admission = ServiceAdmission() if admission else None
@@ -101,6 +105,7 @@
         self._chooser: ReplicaPolicy = make_replica_policy(name="least_expected_wait")
         self._spill_over = spill_over
         self._spill_over_log = spill_over_log
+        self._observed = observed
         self._sent_out_reason: SpillReason | None = None
         """Why the leaf that was chosen last is in another data centre."""
         self._connections = _DEFAULT_CONNECTIONS
@@ -164,6 +169,8 @@
             if handle is not None:
                 handle.retire()
                 handle.request_limit.on_removed(self._clock.now())
+                if self._observed is not None:
+                    self._observed.on_restarted(handle, self._clock.now())
             handle = LeafHandle(
                 entry=entry,
                 location=self._location,
@@ -257,6 +264,8 @@
                     del self.handle_by_id[leaf_id]
                     if self._spill_over is not None:
                         self._spill_over.forget(leaf_id)
+                    if self._observed is not None:
+                        self._observed.forget(leaf_id)
                     self._spread_turns()
         self._departures.remove_expired(now)
         for process, hold in list(self._hold_by_process.items()):
@@ -304,11 +313,14 @@
         is_sent_by_load = False
         if not listed:
             chosen = min(last_resort, key=lambda h: h.tracker.in_flight, default=None)
-        elif self._spill_over is None:
-            chosen = self._choose_by_wait(listed, now, typical_seconds)
         else:
-            chosen, is_sent_by_load = self._choose_by_costs(
-                self._spill_over, listed, now, typical_seconds, priority, remaining_seconds
+            chosen, is_sent_by_load = self._choose_listed(
+                listed,
+                now,
+                typical_seconds,
+                priority,
+                remaining_seconds,
+                may_probe=repeatable and not tried and not hedge,
             )
         self._sent_out_reason = None
         if is_sent_by_load:
@@ -353,6 +365,51 @@
                 last_resort.append(handle)
         return listed, last_resort
 
+    def _choose_listed(
+        self,
+        listed: list[LeafHandle],
+        now: float,
+        typical_seconds: float | None,
+        priority: int,
+        remaining_seconds: float,
+        *,
+        may_probe: bool,
+    ) -> tuple[LeafHandle | None, bool]:
+        """Chooses a leaf; one that hosts observe as failing only as a probe or without others.
+
+        Returns:
+            The leaf, and whether load sends the request to a far leaf although a near one may get
+            it.
+        """
+        failing = self._observed.apply(listed, now) if self._observed is not None else ()
+        args = (now, typical_seconds, priority, remaining_seconds)
+        chosen, by_load = self._choose_among(listed, *args)
+        if self._observed is None or chosen not in failing or chosen is None:
+            return chosen, by_load
+        if may_probe and self._observed.try_probe():
+            return chosen, by_load
+        others = [handle for handle in listed if handle not in failing]
+        other, is_other_by_load = self._choose_among(others, *args) if others else (None, False)
+        if other is None:
+            self._observed.on_no_other()
+            return chosen, by_load
+        self._observed.on_avoided(chosen, now)
+        return other, is_other_by_load
+
+    def _choose_among(
+        self,
+        allowed: list[LeafHandle],
+        now: float,
+        typical_seconds: float | None,
+        priority: int,
+        remaining_seconds: float,
+    ) -> tuple[LeafHandle | None, bool]:
+        if self._spill_over is None:
+            return self._choose_by_wait(allowed, now, typical_seconds), False
+        return self._choose_by_costs(
+            self._spill_over, allowed, now, typical_seconds, priority, remaining_seconds
+        )
+
     def _choose_by_wait(
         self, listed: list[LeafHandle], now: float, typical_seconds: float | None
     ) -> LeafHandle | None:
@@ -434,8 +491,13 @@
         return "tried" if all(leaf_id in tried for leaf_id in nearer_ids) else "load"
 
     def _is_in_use(self, handle: LeafHandle) -> bool:
-        """Returns whether a leaf is listed, not leaving and not suspect."""
-        return handle.usable_until == math.inf and handle.tracker.state != "suspect"
+        """Returns whether a leaf is listed, not leaving, and neither suspect nor failing."""
+        if handle.usable_until < math.inf or handle.tracker.state == "suspect":
+            return False
+        observed = self._observed
+        if observed is None or observed.is_idle:
+            return True
+        return not observed.is_failing(handle, self._clock.now())
 
     def _nearest(self) -> Distance:
         """Returns the distance of the nearest leaves that are listed, in use and not suspect."""
@@ -472,16 +534,28 @@
         self._spawn(connection.run, f"leaf {handle.leaf.id}")
         return connection
 
-    def record_finish(self, handle: LeafHandle, exchange: Exchange, outcome: LeafOutcome) -> None:
+    def record_finish(
+        self,
+        handle: LeafHandle,
+        exchange: Exchange,
+        outcome: LeafOutcome,
+        latencies: RouteLatencies | None = None,
+    ) -> None:
         """Records the outcome of a request at a leaf.
 
         Args:
             handle: The leaf.
             exchange: The request.
             outcome: Its outcome.
+            latencies: Latencies of its route; None if unknown.
         """
         now = self._clock.now()
-        handle.tracker.record_finish(outcome, now - exchange.started_at, now)
+        seconds = now - exchange.started_at
+        handle.tracker.record_finish(outcome, seconds, now)
+        if self._observed is not None:
+            self._observed.record(
+                handle, outcome, seconds, now, sent=exchange.sent, latencies=latencies
+            )
         if self._spill_over is not None and outcome in _FAILURES:
             self._spill_over.on_failure(handle.candidate, now)
         if self.admission is not None:
