Gateway: share observations of leaves within a data centre

Policy section [leaf_observations], off by default. POST /v1/leaf-reports and GET /v1/leaf-states at the neighbour address; the merging host is the first candidate for the reader that answers about leaves. A report that is not taken within 0.7 s goes to the next host; while all leaves are healthy, only the long poll is renewed. The time that an answer was under way counts as age.

Tests: test_sharing.py over loopback, and three gateway processes of which the merging one is paused or killed.

--- a/filbertreach/gateway/_directory.py
+++ b/filbertreach/gateway/_directory.py
@@ -15,11 +15,13 @@
 from filbertreach.document import Route, RouteTable
 from filbertreach.gateway._leaf_handle import Location
 from filbertreach.gateway._metrics import ROUTES_VERSION
+from filbertreach.gateway._observed_leaves import ObservedLeaves
 from filbertreach.gateway._request_turns import TurnSchedule
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
 from filbertreach.gateway._route_latencies import RouteLatencies
 from filbertreach.gateway._service_pool import ServicePool, Spawn
 from filbertreach.gateway._spill_over_log import SpillOverLog
+from filbertreach.leaf_observations import HostObservations
 from filbertreach.observability import get_logger
 from filbertreach.platform import (
     EVACUATIONS_PREFIX,
@@ -69,6 +71,7 @@
         on_change: Callable[[], None],
         admission: bool = False,
         spill_over: CrossingCosts | None = None,
+        observations: HostObservations | None = None,
     ) -> None:
         """Creates an empty directory.
 
@@ -83,6 +86,7 @@
             admission: Whether calls wait for a leaf with a place for their rank.
             spill_over: Costs by which load decides what is sent to other data centres; None to
                 prefer near leaves by fixed penalties.
+            observations: Observations of leaves that hosts share; None to share none.
         """
         self.table: RouteTable | None = None
         """Routes in force, None before the first configuration; the version never decreases."""
@@ -101,6 +105,7 @@
         self._on_change = on_change
         self._admission = admission
         self._spill_over = spill_over
+        self._observations = observations
         self._data_centre_statistics = DataCentreStatistics()
         self._spill_over_log = SpillOverLog()
         self._host_count: int | None = None
@@ -249,6 +254,9 @@
                     name="marginal_cost", costs=costs, statistics=self._data_centre_statistics
                 ),
                 spill_over_log=None if costs is None else self._spill_over_log,
+                observed=None
+                if self._observations is None
+                else ObservedLeaves(observations=self._observations),
             )
             if self._host_count is not None:
                 pool.set_host_count(self._host_count)
--- a/filbertreach/gateway/_discovery.py
+++ b/filbertreach/gateway/_discovery.py
@@ -13,6 +13,7 @@
 from filbertreach.observability import get_logger
 from filbertreach.platform import (
     ALL_KEYS,
+    Bounds,
     DeploymentStore,
     HistoryLostError,
     PlatformError,
@@ -41,6 +42,10 @@
 _POLL_SECONDS = 2.0
 """Longest wait for changes from the reader, which confirms its data at least as often."""
 _MIN_POLL_SECONDS = 0.1
+_MIN_READER_SHARING_SECONDS = 4.5
+"""Smallest bound on configuration, draining and evacuation with which one host of a data centre
+reads the store for the others. A silent reader is detected after 2.4 s, and a call to the store has
+to fit into the rest of the bound."""
 _RETRY_SECONDS = 0.25
 _MAX_RETRY_SECONDS = 1.0
 _MAX_SHARED_RETRY_SECONDS = 2.0
@@ -245,3 +250,13 @@
         if name != self._logged_source:
             self._logged_source = name
             _LOGGER.info("store followed", through=name or "itself")
+
+
+def may_share_reader(bounds: Bounds) -> bool:
+    """Returns whether the bounds leave time to detect a reader whose data is stale.
+
+    Args:
+        bounds: Bounds of the deployment.
+    """
+    shortest = min(bounds.leaf_drain_seconds, bounds.routes_seconds, bounds.evacuate_seconds)
+    return shortest >= _MIN_READER_SHARING_SECONDS
--- a/filbertreach/gateway/_neighbour_application.py
+++ b/filbertreach/gateway/_neighbour_application.py
@@ -5,7 +5,9 @@
 import msgspec
 
 from filbertreach.gateway._change_log import ChangeLog
+from filbertreach.gateway._leaf_observation_routes import answer_about_leaves
 from filbertreach.gateway._neighbours import CHANGES_PATH, HOSTS_PATH, Neighbours, compress
+from filbertreach.leaf_observations import REPORTS_PATH, STATES_PATH, SharedObservations
 from filbertreach.observability import (
     Application,
     ClientDisconnectedError,
@@ -26,20 +28,25 @@
 """Bytes of a message about quotas. A seed keeps up to 128 of them; one with the largest number of
 accounts and loans, and names of 20 characters, has about 200 KB."""
 _PROBLEM_TYPE = "application/problem+json"
+_LEAF_ROUTES = frozenset({(REPORTS_PATH, "POST"), (STATES_PATH, "GET")})
 
 _REQUEST_DECODER = JsonDecoder(message=QuotaRequest)
 _REPORT_DECODER = JsonDecoder(message=QuotaReport)
 
 
 def neighbour_application(
-    neighbours: Neighbours, change_log: ChangeLog, quotas: FleetQuotas | None = None
+    neighbours: Neighbours,
+    change_log: ChangeLog,
+    quotas: FleetQuotas | None = None,
+    observations: SharedObservations | None = None,
 ) -> Application:
-    """Creates the ASGI application for announcements, changes of the store, and quotas.
+    """Creates the ASGI application for announcements, changes of the store, quotas and leaves.
 
     Args:
         neighbours: Receives the announcements.
         change_log: Changes of the store that this host has applied.
         quotas: Answers about quotas; None for no answers.
+        observations: Answers about leaves; None for no answers.
     """
 
     async def answer(path: str, query: dict[str, str]) -> object:
@@ -58,6 +65,10 @@
         if path in (QUOTA_PATH, DEMAND_PATH) and scope["method"] == "POST" and quotas is not None:
             await _answer_about_quotas(quotas, path, receive, send)
             return
+        if (path, scope["method"]) in _LEAF_ROUTES and observations is not None:
+            query = dict(urllib.parse.parse_qsl(scope["query_string"].decode("latin-1")))
+            await answer_about_leaves(observations, path, query, receive, send)
+            return
         if path not in (HOSTS_PATH, CHANGES_PATH):
             await respond(send, 404, b'{"title": "not found"}\n', _PROBLEM_TYPE)
             return
--- a/filbertreach/gateway/_neighbours.py
+++ b/filbertreach/gateway/_neighbours.py
@@ -120,6 +120,7 @@
         self._quota_excluded_until_by_name: dict[str, float] = {}
         """Hosts that do not answer about quotas may still read the store, so they are kept apart
         from hosts that are excluded as reader."""
+        self._observation_excluded_until_by_name: dict[str, float] = {}
         self._channel_by_address: dict[str, HttpChannel] = {}
 
     async def __aenter__(self) -> Self:
@@ -226,6 +227,21 @@
         """
         self._quota_excluded_until_by_name[name] = self._clock.now() + _EXCLUSION_SECONDS
 
+    def observation_host(self) -> KnownHost | None:
+        """Returns the neighbour that merges observations of leaves, None if this host does.
+
+        It is the first candidate for the reader that answers about them.
+        """
+        return self._first_candidate(self._observation_excluded_until_by_name)
+
+    def exclude_observation_host(self, name: str) -> None:
+        """Excludes a host from the choice of the one that merges observations for some seconds.
+
+        Args:
+            name: Name of the host.
+        """
+        self._observation_excluded_until_by_name[name] = self._clock.now() + _EXCLUSION_SECONDS
+
     def local_host_names(self) -> list[str]:
         """Returns the names of the live hosts of this data centre, this one included."""
         return [host["name"] for host in self._local_hosts(self._clock.now())]
--- a/filbertreach/gateway/_policy.py
+++ b/filbertreach/gateway/_policy.py
@@ -17,6 +17,8 @@
     spill_over: CrossingCosts | None = None
     """Costs by which load decides how much is sent to other data centres; None to prefer the near
     leaves by fixed penalties."""
+    leaf_observations: bool = False
+    """Whether observations of leaves are shared with the other hosts of the data centre."""
 
 
 def load_policy(path: str) -> Result[GatewayPolicy, SettingsError]:
@@ -41,4 +43,5 @@
         )
         if spill_over["enabled"]
         else None,
+        leaf_observations=values["leaf_observations"]["enabled"],
     )
--- a/filbertreach/gateway/_process.py
+++ b/filbertreach/gateway/_process.py
@@ -12,7 +12,7 @@
 from filbertreach.document import ClientAccount, Route, RouteTable
 from filbertreach.gateway._change_log import ChangeLog
 from filbertreach.gateway._directory import Directory
-from filbertreach.gateway._discovery import StoreFollower
+from filbertreach.gateway._discovery import StoreFollower, may_share_reader
 from filbertreach.gateway._leaf_handle import Location
 from filbertreach.gateway._loop_probe import LoopProbe
 from filbertreach.gateway._metrics import (
@@ -29,9 +29,9 @@
 from filbertreach.gateway._policy import GatewayPolicy
 from filbertreach.gateway._query import Query, QueryResult
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
+from filbertreach.leaf_observations import HostObservations, SharedObservations
 from filbertreach.observability import Health, get_logger
 from filbertreach.platform import (
-    Bounds,
     CallerAnswer,
     CallerRequest,
     DeploymentStore,
@@ -46,10 +46,6 @@
 """Timeout of a call to the store, which normally answers within milliseconds."""
 _MAINTENANCE_SECONDS = 1.0
 """Interval at which expired leaves are removed and the number of hosts is updated."""
-_MIN_READER_SHARING_SECONDS = 4.5
-"""Smallest bound on configuration, draining and evacuation with which one host of a data centre
-reads the store for the others. A silent reader is detected after 2.4 s, and a call to the store has
-to fit into the rest of the bound."""
 _DEFAULT_MAX_BODY_BYTES = 262144
 _NOT_READY_RETRY_SECONDS = 0.5
 _OUTCOMES_NOT_RUN = frozenset({"not_run", "limited", "overloaded"})
@@ -104,6 +100,7 @@
         )
         self._budget = RetryBudgetSettings()
         self._budget.update(settings.bounds)
+        observations = HostObservations(clock=self._clock)
         self.directory = Directory(
             clock=self._clock,
             location=Location(settings.region, settings.data_centre),
@@ -114,6 +111,7 @@
             on_change=self._update_health,
             admission=self._policy.admission,
             spill_over=self._policy.spill_over,
+            observations=observations if self._policy.leaf_observations else None,
         )
         self.change_log = ChangeLog(clock=self._clock)
         """Changes of the store that this host has applied, for its neighbours."""
@@ -127,6 +125,16 @@
                 seeds=settings.seed_addresses,
                 clock=self._clock,
             )
+        self.observations: SharedObservations | None = None
+        """Shares observations of leaves; None if this host shares none."""
+        if self._policy.leaf_observations and self.neighbours is not None:
+            self.observations = SharedObservations(
+                host=settings.host,
+                local=observations,
+                hosts=self.neighbours,
+                leaf_count=self.directory.count_leaves,
+                timers=timers,
+            )
         self.quotas = FleetQuotas(
             host=settings.host,
             data_centre=settings.data_centre,
@@ -162,11 +170,13 @@
             on_change=self.directory.on_change,
             change_log=self.change_log,
             host=self._settings.host,
-            neighbours=self.neighbours if _may_share_reader(self._settings.bounds) else None,
+            neighbours=self.neighbours if may_share_reader(self._settings.bounds) else None,
         )
         if self.neighbours is not None:
             await self._stack.enter_async_context(self.neighbours)
             self._group.start_soon(self.neighbours.run)
+        if self.observations is not None:
+            await self._stack.enter_async_context(self.observations)
         self._group.start_soon(follower.run)
         self._timers.subscribe(
             name="tidy", interval_seconds=_MAINTENANCE_SECONDS, callback=self._run_maintenance
@@ -401,12 +411,6 @@
             self.directory.set_host_count(host_count)
 
 
-def _may_share_reader(bounds: Bounds) -> bool:
-    """Returns whether the bounds leave time to detect a reader whose data is stale."""
-    shortest = min(bounds.leaf_drain_seconds, bounds.routes_seconds, bounds.evacuate_seconds)
-    return shortest >= _MIN_READER_SHARING_SECONDS
-
-
 def _quota_bounds(settings: HostSettings) -> QuotaBounds:
     bounds = settings.bounds
     return QuotaBounds(
--- a/filbertreach/gateway/tests/test_draining_bound.py
+++ b/filbertreach/gateway/tests/test_draining_bound.py
@@ -41,7 +41,7 @@
     )
     # A request may have been given to a new connection just before that.
     written_seconds = learned_seconds + _leaf_connection._CONNECT_TIMEOUT_SECONDS
-    assert written_seconds + _TRANSIT_SECONDS <= _process._MIN_READER_SHARING_SECONDS
+    assert written_seconds + _TRANSIT_SECONDS <= _discovery._MIN_READER_SHARING_SECONDS
 
 
 @pytest.mark.parametrize("drain_seconds", [3.0, 4.0, 5.0, 6.0])
@@ -85,5 +85,5 @@
     # Guards against requests to an evacuated data centre whose bound is shorter than the others.
     bounds = Bounds(drain_seconds, routes_seconds, 6.0, 0.2, 10.0, 160.0)
     assert (
-        _process._may_share_reader(bounds._replace(evacuate_seconds=evacuate_seconds)) is is_shared
+        _discovery.may_share_reader(bounds._replace(evacuate_seconds=evacuate_seconds)) is is_shared
     )
--- /dev/null
+++ b/filbertreach/leaf_observations/tests/test_sharing.py
@@ -0,0 +1,168 @@
+"""Reports and states between gateways over loopback: merging, failing hosts, idle traffic."""
+
+import contextlib
+from collections.abc import AsyncIterator, Callable
+
+import anyio
+import pytest
+
+from filbertreach.decisions import LeafOutcome
+from filbertreach.gateway._change_log import ChangeLog
+from filbertreach.gateway._neighbour_application import neighbour_application
+from filbertreach.gateway._neighbours import Neighbours
+from filbertreach.leaf_observations import HostObservations, SharedObservations
+from filbertreach.leaf_observations._messages import decode_states
+from filbertreach.observability import Application, HttpServer, Receive, Scope, Send
+from filbertreach.schema import KnownHost, MergedLeafState, MergedLeafStates
+from filbertreach.timing import SystemClock, TimerService
+from filbertreach_standins.ports import free_address
+
+
+class _Hosts:
+    """Candidates for the merging host in order; this host itself is the last one."""
+
+    def __init__(self, others: list[KnownHost]) -> None:
+        self.others = others
+        self.excluded: list[str] = []
+
+    def observation_host(self) -> KnownHost | None:
+        usable = [host for host in self.others if host["name"] not in self.excluded]
+        return usable[0] if usable else None
+
+    def exclude_observation_host(self, name: str) -> None:
+        self.excluded.append(name)
+
+    def local_host_names(self) -> list[str]:
+        return [host["name"] for host in self.others] + ["itself"]
+
+
+class _Gateway:
+    """The part of a gateway that shares observations."""
+
+    def __init__(self, name: str, address: str, others: list[KnownHost]) -> None:
+        self.host = KnownHost(name=name, address=address, data_centre="minho-1")
+        self.hosts = _Hosts(others)
+        self.local = HostObservations(clock=SystemClock())
+        self.requests: list[str] = []
+        self._name = name
+        self._address = address
+
+    @contextlib.asynccontextmanager
+    async def run(self) -> AsyncIterator[None]:
+        async with TimerService() as timers:
+            observations = SharedObservations(
+                host=self._name,
+                local=self.local,
+                hosts=self.hosts,
+                leaf_count=lambda: 100,
+                timers=timers,
+            )
+            neighbours = Neighbours(
+                host=self._name,
+                address=self._address,
+                data_centre="minho-1",
+                seeds=(),
+                clock=timers.clock,
+            )
+            application = neighbour_application(
+                neighbours, ChangeLog(clock=timers.clock), None, observations
+            )
+            async with observations, _serve(self._address, self._counted(application)):
+                yield
+
+    def _counted(self, application: Application) -> Application:
+        async def counted(scope: Scope, receive: Receive, send: Send) -> None:
+            if scope["type"] == "http":
+                self.requests.append(scope["path"])
+            await application(scope, receive, send)
+
+        return counted
+
+    def observe(self, outcome: LeafOutcome) -> None:
+        now = SystemClock().now()
+        self.local.observer.record("a", outcome, 0.001, now, usual_seconds=0.01)
+
+    def knows(self) -> bool:
+        return self.local.states.state_of("a", SystemClock().now()) is not None
+
+
+@contextlib.asynccontextmanager
+async def _serve(address: str, application: Application) -> AsyncIterator[None]:
+    server = HttpServer(address=address, application=application, drain_seconds=0.1)
+    async with anyio.create_task_group() as group:
+        await group.start(server.run)
+        yield
+        group.cancel_scope.cancel()
+
+
+async def _wait_until(condition: Callable[[], bool], seconds: float) -> None:
+    with anyio.fail_after(seconds):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+def _gateways(*, silent: KnownHost | None = None) -> list[_Gateway]:
+    """Returns a merging host and two hosts that report to it, perhaps after a silent one."""
+    first = _Gateway("h0", free_address(), [])
+    others = [first.host] if silent is None else [silent, first.host]
+    return [first, *(_Gateway(f"h{n}", free_address(), others) for n in (1, 2))]
+
+
+def test_all_hosts_learn_what_two_of_them_observe() -> None:
+    async def run() -> None:
+        gateways = _gateways()
+        async with contextlib.AsyncExitStack() as stack:
+            for gateway in gateways:
+                await stack.enter_async_context(gateway.run())
+            await anyio.sleep(0.6)
+            gateways[0].requests.clear()
+            await anyio.sleep(1.0)
+            # No traffic while all leaves are healthy.
+            gateways[1].observe(LeafOutcome.OK)
+            await anyio.sleep(0.3)
+            assert gateways[0].requests == []
+            gateways[1].observe(LeafOutcome.ERROR)
+            gateways[2].observe(LeafOutcome.ERROR)
+            await _wait_until(lambda: all(g.knows() for g in gateways), 1.0)
+            # Good answers of two hosts end the state everywhere, before it would expire.
+            gateways[0].observe(LeafOutcome.OK)
+            gateways[1].observe(LeafOutcome.OK)
+            await _wait_until(lambda: not any(g.knows() for g in gateways), 1.2)
+
+    anyio.run(run)
+
+
+@pytest.mark.parametrize("fault", ["closed", "paused"])
+def test_the_next_host_is_asked_if_the_first_one_does_not_answer(fault: str) -> None:
+    # Guards against observations that are lost with the host that merges them.
+    async def never_answer(scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] == "http":
+            await anyio.sleep_forever()
+
+    async def run() -> None:
+        silent = KnownHost(name="gone", address=free_address(), data_centre="minho-1")
+        gateways = _gateways(silent=silent)
+        async with contextlib.AsyncExitStack() as stack:
+            if fault == "paused":
+                await stack.enter_async_context(_serve(silent["address"], never_answer))
+            for gateway in gateways:
+                await stack.enter_async_context(gateway.run())
+            await anyio.sleep(0.2)
+            for gateway in gateways[1:]:
+                gateway.observe(LeafOutcome.ERROR)
+            await _wait_until(lambda: all(g.knows() for g in gateways), 1.6)
+            assert all(g.hosts.excluded == ["gone"] for g in gateways[1:])
+
+    anyio.run(run)
+
+
+def test_the_time_under_way_counts_as_age() -> None:
+    # Guards against a process that was paused and then applies what it received long ago.
+    item = MergedLeafState(leaf="a", kind="failing", factor=1.0, age_seconds=0.5, hosts=2)
+    states = MergedLeafStates(revision=1, waited_seconds=3.0, states=[item])
+    assert decode_states(states, asked_at=100.0, now=103.0)["a"].confirmed_at == 102.5
+    late = decode_states(states, asked_at=100.0, now=106.0)["a"]
+    assert late.ends_at < 106.0
+    item["age_seconds"] = -5.0
+    with pytest.raises(ValueError, match="age"):
+        decode_states(states, asked_at=100.0, now=103.0)
--- a/filbertreach/schema/_generated_policy.py
+++ b/filbertreach/schema/_generated_policy.py
@@ -6,6 +6,17 @@
 from typing import NotRequired, TypedDict
 
 
+class LeafObservationsSection(TypedDict):
+    """
+    Observations of leaves that the gateways of a data centre share.
+    """
+
+    enabled: NotRequired[bool]
+    """
+    Whether the gateway reports failing and slow leaves to the other gateways of its data centre, and applies what they report.
+    """
+
+
 class AdmissionSection(TypedDict):
     """
     Refusal of requests that can't be served in time.
@@ -43,3 +54,4 @@
 
     admission: NotRequired[AdmissionSection]
     spill_over: NotRequired[SpillOverSection]
+    leaf_observations: NotRequired[LeafObservationsSection]
