Leaf observations: list no leaf if more than a third of them would be

Exceptions that concern most leaves are none. If more than a third of the leaves that the merging host uses, and more than two, would be listed, none is, and each host decides alone.

test_none_is_listed_if_too_many_would_be failed without the rule.

--- a/filbertreach/gateway/_process.py
+++ b/filbertreach/gateway/_process.py
@@ -132,7 +132,6 @@
                 host=settings.host,
                 local=observations,
                 hosts=self.neighbours,
-                leaf_count=self.directory.count_leaves,
                 timers=timers,
             )
         self.quotas = FleetQuotas(
--- a/filbertreach/leaf_observations/_board.py
+++ b/filbertreach/leaf_observations/_board.py
@@ -18,6 +18,12 @@
 """Hosts that together show an exception, and that together show its end."""
 _ONE_HOST_FRACTION = 0.1
 """Largest fraction of the leaves that count as exceptions by the word of one host each."""
+_MAX_LISTED_FRACTION = 1.0 / 3.0
+"""Fraction of the leaves beyond which none is listed: all are busy, or the network fails. In a
+model of a sudden overload, all leaves were listed, and a single one got all calls of its service
+for a second."""
+_MIN_LISTED = 2
+"""Leaves that may always be listed, as a host that has just started knows few."""
 _DISTRUST_SECONDS = 30.0
 """Time for which a host is not believed alone after another host had a good answer in the middle of
 its observations of an exception."""
@@ -91,6 +97,8 @@
         """Number of the states as they were published last; never 0."""
         self.state_by_leaf: dict[str, LeafState] = {}
         """States as they were published last, by leaf id."""
+        self.is_general = False
+        """Whether so many leaves are observed as failing or slow that none is listed."""
         self._leaf_count = leaf_count
         self._words_by_leaf: dict[str, dict[str, _Word]] = {}
         """Words of the hosts, by leaf id and host."""
@@ -190,7 +198,9 @@
                 if self._is_believed_alone(host, word, healthy, now):
                     of_one_host[leaf_id] = _merge_words([word])
         merged.update(self._limit_words_of_one_host(of_one_host, now))
-        return merged
+        most = max(_MIN_LISTED, int(_MAX_LISTED_FRACTION * self._leaf_count()))
+        self.is_general = len(merged) > most
+        return {} if self.is_general else merged
 
     def _is_believed_alone(self, host: str, word: _Word, healthy: list[_Word], now: float) -> bool:
         contradictions = [other.at for other in healthy if other.at > word.first_at]
--- a/filbertreach/leaf_observations/_log.py
+++ b/filbertreach/leaf_observations/_log.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from filbertreach.leaf_observations._board import StateChange
+from filbertreach.leaf_observations._states import LeafState
 from filbertreach.observability import get_logger
 
 _LOGGER = get_logger(__name__)
@@ -27,19 +28,24 @@
         """Leaves whose listing was written and whose end was not."""
         self._dropped_count = 0
 
-    def record(self, changes: Iterable[StateChange], now: float) -> None:
+    def record(
+        self, changes: Iterable[StateChange], now: float, *, is_general: bool = False
+    ) -> None:
         """Writes the changes that are worth a line.
 
         Args:
             changes: Changes of the merged states.
             now: Current clock, in seconds.
+            is_general: Whether none is listed because too many would be.
         """
         if now - self._period_started_at >= _PERIOD_SECONDS:
             self._period_started_at = now
             self._leaf_ids_in_period.clear()
         for change in changes:
             if change.new is None:
-                self._record_end(change, now)
+                self._record_end(
+                    change, "too many leaves" if is_general else _end_reason(change.old, now)
+                )
             elif change.leaf_id not in self._leaf_ids_in_period:
                 self._record_listing(change)
 
@@ -59,12 +65,16 @@
         )
         self._dropped_count = 0
 
-    def _record_end(self, change: StateChange, now: float) -> None:
+    def _record_end(self, change: StateChange, reason: str) -> None:
         assert change.old is not None
         if change.leaf_id in self._open_leaf_ids:
             self._open_leaf_ids.discard(change.leaf_id)
             _LOGGER.info(
                 f"leaf no longer observed as {change.old.kind}",
                 leaf=change.leaf_id,
-                reason="healthy again" if now < change.old.ends_at else "no confirmation",
+                reason=reason,
             )
+
+
+def _end_reason(old: LeafState | None, now: float) -> str:
+    return "healthy again" if old is not None and now < old.ends_at else "no confirmation"
--- a/filbertreach/leaf_observations/_sharing.py
+++ b/filbertreach/leaf_observations/_sharing.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import math
-from collections.abc import Callable
 from types import TracebackType
 from typing import Protocol, Self
 
@@ -71,7 +70,6 @@
         host: str,
         local: HostObservations,
         hosts: ObservationHosts,
-        leaf_count: Callable[[], int],
         timers: TimerService,
     ) -> None:
         """Creates a state without observations.
@@ -80,7 +78,6 @@
             host: Name of this host.
             local: What this host observes and the states that it applies.
             hosts: The other hosts.
-            leaf_count: Returns the number of leaves in use.
             timers: Timer service, already entered when this object is entered.
         """
         self._local = local
@@ -88,7 +85,7 @@
         self._hosts = hosts
         self._timers = timers
         self._clock = timers.clock
-        self._board = ObservationBoard(leaf_count=leaf_count)
+        self._board = ObservationBoard(leaf_count=local.states.count_answered)
         self._board_updated_at = -math.inf
         self._board_changed = anyio.Event()
         self._log = StateChangeLog()
@@ -170,8 +167,11 @@
 
     def _update_board(self, now: float) -> None:
         self._board_updated_at = now
-        revision = self._board.revision
-        self._log.record(self._board.update(now), now)
+        revision, was_general = self._board.revision, self._board.is_general
+        changes = self._board.update(now)
+        if self._board.is_general and not was_general:
+            _LOGGER.warning("too many leaves observed as failing or slow, so none is listed")
+        self._log.record(changes, now, is_general=self._board.is_general)
         if self._board.revision == revision:
             return
         self._board_changed.set()
--- a/filbertreach/leaf_observations/_states.py
+++ b/filbertreach/leaf_observations/_states.py
@@ -81,6 +81,10 @@
         """
         return self._answered_at_by_leaf.get(leaf_id)
 
+    def count_answered(self) -> int:
+        """Returns the number of leaves that have given this host a good answer."""
+        return len(self._answered_at_by_leaf)
+
     def replace(self, state_by_leaf: Mapping[str, LeafState], now: float) -> list[str]:
         """Replaces all states.
 
--- a/filbertreach/leaf_observations/tests/test_board.py
+++ b/filbertreach/leaf_observations/tests/test_board.py
@@ -101,6 +101,21 @@
     assert len(board.listed()) == 1
 
 
+def test_none_is_listed_if_too_many_would_be() -> None:
+    # Guards against a herd under a sudden overload: all leaves are slow, and those that are not
+    # listed yet get the calls of the others.
+    board = _Board(leaves=30)
+    for number in range(10):
+        for host in ("h1", "h2"):
+            board.report(host, "slow", f"leaf-{number}", factor=3.0)
+    assert len(board.listed()) == 10
+    for host in ("h1", "h2"):
+        board.report(host, "slow", "one more", factor=3.0)
+    revision = board.board.revision
+    assert board.listed() == {}
+    assert board.board.is_general and board.board.revision > revision
+
+
 def test_one_good_answer_silences_a_host_that_is_alone() -> None:
     # Guards against a host whose link to a leaf, or whose clock, is at fault.
     board = _Board()
@@ -166,7 +181,7 @@
             lines.append((event, leaf))
 
     monkeypatch.setattr(log_module, "_LOGGER", _Logger())
-    board, log = _Board(), StateChangeLog()
+    board, log = _Board(leaves=1000), StateChangeLog()
     for _ in range(3):
         board.report("h1", "failing")
         board.report("h2", "failing")
--- a/filbertreach/leaf_observations/tests/test_sharing.py
+++ b/filbertreach/leaf_observations/tests/test_sharing.py
@@ -54,7 +54,6 @@
                 host=self._name,
                 local=self.local,
                 hosts=self.hosts,
-                leaf_count=lambda: 100,
                 timers=timers,
             )
             neighbours = Neighbours(
