--- a/filbertreach/gateway/_command.py
+++ b/filbertreach/gateway/_command.py
@@ -162,6 +162,7 @@
                         process.change_log,
                         process.quotas,
                         handover=process.handover,
+                        observations=process.observations,
                     )
                     group.start_soon(_serve_neighbours, settings.neighbour_address, application)
                 _LOGGER.info("started", serve=settings.serve_address, ready=settings.ready_address)
--- a/filbertreach/gateway/_directory.py
+++ b/filbertreach/gateway/_directory.py
@@ -19,11 +19,13 @@
 from filbertreach.gateway._cold_bound import ColdBound
 from filbertreach.gateway._leaf_handle import Location
 from filbertreach.gateway._metrics import ROUTES_VERSION
+from filbertreach.gateway._observed_leaves import ObservedLeaves
 from filbertreach.gateway._request_turns import TurnSchedule
 from filbertreach.gateway._retry_budget import BudgetHistory, RetryBudgetSettings
 from filbertreach.gateway._route_latencies import RouteLatencies
 from filbertreach.gateway._service_pool import ServicePool, Spawn
 from filbertreach.gateway._spill_over_log import SpillOverLog
+from filbertreach.leaf_observations import HostObservations
 from filbertreach.observability import get_logger
 from filbertreach.platform import (
     EVACUATIONS_PREFIX,
@@ -75,6 +77,7 @@
         spill_over: CrossingCosts | None = None,
         cold_bound: ColdBound | None = None,
         load_return: LoadReturn | None = None,
+        observations: HostObservations | None = None,
     ) -> None:
         """Creates an empty directory.
 
@@ -91,6 +94,7 @@
                 prefer near leaves by fixed penalties.
             cold_bound: What a cold leaf tolerates; None for the usual bound.
             load_return: Paces the return of load to leaves; None to use them in full at once.
+            observations: Observations of leaves that hosts share; None to share none.
         """
         self.table: RouteTable | None = None
         """Routes in force, None before the first configuration; the version never decreases."""
@@ -111,6 +115,7 @@
         self._spill_over = spill_over
         self._cold_bound = cold_bound
         self._load_return = load_return
+        self._observations = observations
         self._data_centre_statistics = DataCentreStatistics()
         self._spill_over_log = SpillOverLog()
         self._host_count: int | None = None
@@ -268,6 +273,9 @@
                 spill_over_log=None if costs is None else self._spill_over_log,
                 cold_bound=self._cold_bound,
                 load_return=self._load_return,
+                observed=None
+                if self._observations is None
+                else ObservedLeaves(observations=self._observations),
             )
             if self._host_count is not None:
                 pool.set_host_count(self._host_count)
--- a/filbertreach/gateway/_policy.py
+++ b/filbertreach/gateway/_policy.py
@@ -22,6 +22,8 @@
     leaves by fixed penalties."""
     load_return: bool = False
     """Whether load returns over some seconds after an evacuation or a start of many leaves."""
+    leaf_observations: bool = False
+    """Whether observations of leaves are shared with the other hosts of the data centre."""
 
 
 def load_policy(path: str) -> Result[GatewayPolicy, SettingsError]:
@@ -48,4 +50,5 @@
         if spill_over["enabled"]
         else None,
         load_return=values["load_return"]["enabled"],
+        leaf_observations=values["leaf_observations"]["enabled"],
     )
--- a/filbertreach/gateway/tests/test_key_revocation.py
+++ b/filbertreach/gateway/tests/test_key_revocation.py
@@ -51,7 +51,7 @@
     heard_seconds = (
         _discovery._STALE_SECONDS + _neighbours._TIMEOUT_SECONDS + _process._STORE_TIMEOUT_SECONDS
     )
-    shortest = _process._MIN_READER_SHARING_SECONDS
+    shortest = _discovery._MIN_READER_SHARING_SECONDS
     assert KeyRevocation(bounds=_strict(shortest)).may_accept(heard_seconds)
 
 
@@ -62,4 +62,4 @@
 def test_hosts_share_a_reader_only_if_the_bound_leaves_time(
     bounds: Bounds, is_shared: bool
 ) -> None:
-    assert _process._may_share_reader(bounds) == is_shared
+    assert _discovery.may_share_reader(bounds) == is_shared
