Quotas: credit of the advance is granted again if its requests did not run

What callers saw: in the seconds after a start or the loss of a quota host, an account whose requests found no leaf, or whose caller left, was refused with 429 although it had used little of what is granted in advance.

Cause: QuotaLedger.give_back returns credit to the bucket of the account. While a quota host holds no part there is no bucket, and the credit was ignored.

Change: as long as the advance may be used, credit goes back to it first, at most what was granted in advance; the advance is used after the bucket. The sum of what is granted does not change.

--- a/filbertreach/quotas/_advance.py
+++ b/filbertreach/quotas/_advance.py
@@ -83,6 +83,21 @@
             self._granted_by_account[account] = before + granted
         return granted
 
+    def give_back(self, account: str, count: int) -> int:
+        """Takes back granted requests that have not run.
+
+        Args:
+            account: Name of the account.
+            count: Number of requests, at least 0.
+
+        Returns:
+            Number of requests that are taken back; the others were not granted in advance.
+        """
+        returned = min(count, self._granted_by_account.get(account, 0))
+        if returned:
+            self._granted_by_account[account] -= returned
+        return returned
+
     def _advance(self, quota: Quota) -> float:
         """Returns the requests that all quota hosts together grant in advance."""
         excess = _ADVANCED_EXCESS * self._bounds.excess(quota)
--- a/filbertreach/quotas/_ledger.py
+++ b/filbertreach/quotas/_ledger.py
@@ -131,7 +131,12 @@
             count: Number of requests.
             now: Current clock, in seconds.
         """
-        if account in self._bucket_by_account and count > 0:
+        if account not in self.quota_by_account or count <= 0:
+            return
+        if self._has_new_part(now):
+            # The advance is used after the bucket, so it gets its credit back first.
+            count -= self.advance.give_back(account, count)
+        if count > 0 and account in self._bucket_by_account:
             self._refill(account, now).level += count
             self._refill(account, now)
 
