Quotas: names of gateways that ask take a bounded memory

Cause: QuotaAdvance kept each gateway that asked until the advance was next used, which it is not while buckets have credit. A faulty neighbour that invents names made the table grow without bound.

Change: gateways that have not asked for 1 s are removed at least once a second, and at most 1,024 are kept; a gateway beyond that does not count, so less is granted in advance, never more.

Seen to fail: without the change, 20,000 invented names within 2 s were all kept (test_gateways_that_ask_take_a_bounded_memory); with it at most 1,024.

--- a/filbertreach/quotas/_advance.py
+++ b/filbertreach/quotas/_advance.py
@@ -17,6 +17,8 @@
 _ADVANCED_EXCESS = 0.5
 """Fraction of what may exceed a quota in a window up to which it is granted in advance. Quota hosts
 may still use what was lent to them of the parts."""
+_MAX_ASKING_HOSTS = 1024
+"""Gateways that are kept; further ones do not count. A data centre of the design size has 57."""
 _ROUNDING_TOLERANCE = 1e-9
 
 
@@ -44,9 +46,15 @@
         """
         self._bounds = bounds
         self._asking_by_host: dict[str, _Asking] = {}
+        self._removes_expired_at = 0.0
         self._granted_by_account: dict[str, int] = {}
         self._repeats_at = 0.0
 
+    @property
+    def kept_hosts(self) -> int:
+        """Number of gateways of which something is kept."""
+        return len(self._asking_by_host)
+
     def on_asked(self, host: str, now: float) -> None:
         """Records that a gateway asks this host.
 
@@ -54,7 +62,11 @@
             host: The gateway.
             now: Current clock, in seconds.
         """
+        if now >= self._removes_expired_at:
+            self._remove_expired(now)
         asking = self._asking_by_host.get(host)
+        if asking is None and len(self._asking_by_host) >= _MAX_ASKING_HOSTS:
+            return
         began_at = now
         if asking is not None and now - asking.last_at < _ASKED_SECONDS:
             began_at = asking.began_at
@@ -108,13 +120,17 @@
 
         A gateway asks one host at a time, so the fractions of all quota hosts add up to at most 1.
         """
-        self._asking_by_host = {
-            host: asking
-            for host, asking in self._asking_by_host.items()
-            if now - asking.last_at < _ASKED_SECONDS
-        }
+        self._remove_expired(now)
         asking_hosts = sum(
             now - asking.began_at >= _LEAST_ASKING_SECONDS
             for asking in self._asking_by_host.values()
         )
         return asking_hosts / (max(hosts, asking_hosts, 1) * self._bounds.data_centres)
+
+    def _remove_expired(self, now: float) -> None:
+        self._removes_expired_at = now + _ASKED_SECONDS
+        self._asking_by_host = {
+            host: asking
+            for host, asking in self._asking_by_host.items()
+            if now - asking.last_at < _ASKED_SECONDS
+        }
