Decisions: one implementation of fair shares, and shares of accounts on top of it

FairShare moves from entry/ to decisions/ with its tests. With its default settings it decides as before in the entry process; constants that depend on the resource become settings, and the level can be set from a capacity.

AccountShares decides for a quota host, without input or output: weights by the rate of the quota, the median of the pressure (calls per slot) that hosts report in place of an occupancy, a capacity from what was granted over 20 s. Nothing is refused without pressure or without knowledge of it.

--- a/filbertreach/decisions/__init__.py
+++ b/filbertreach/decisions/__init__.py
@@ -1,7 +1,19 @@
-"""Load-balancing decisions shared by several programs: leaf, hedging, limits and wait time."""
+"""Load-balancing decisions of several programs: leaf, hedging, limits, shares and wait time."""
 
+from filbertreach.decisions._account_shares import (
+    PRESSURE_SECONDS,
+    AccountShares,
+    MedianPressure,
+    Pressure,
+)
 from filbertreach.decisions._admission_window import AdmissionWindow
 from filbertreach.decisions._caller_reserve import MIN_CALLER_RESERVE_SECONDS, CallerReserve
+from filbertreach.decisions._fair_share import (
+    FairShare,
+    FairShareSettings,
+    ShareDecision,
+    fair_level,
+)
 from filbertreach.decisions._hedging import HedgeBudget, HedgeDelay, may_hedge
 from filbertreach.decisions._latency import LatencyTracker
 from filbertreach.decisions._leaf import LeafOutcome, LeafState, LeafTracker
@@ -38,6 +50,8 @@
 __all__ = [
     "DISTANCES",
     "MIN_CALLER_RESERVE_SECONDS",
+    "PRESSURE_SECONDS",
+    "AccountShares",
     "AdmissionWindow",
     "CallerReserve",
     "ConcurrencyLimit",
@@ -45,6 +59,8 @@
     "DataCentreStatistics",
     "Distance",
     "EqualWait",
+    "FairShare",
+    "FairShareSettings",
     "HedgeBudget",
     "HedgeDelay",
     "LateShardLatencies",
@@ -53,9 +69,12 @@
     "LeafReport",
     "LeafState",
     "LeafTracker",
+    "MedianPressure",
     "ObjectiveWait",
+    "Pressure",
     "ReplicaPolicy",
     "ServiceAdmission",
+    "ShareDecision",
     "SpillCandidate",
     "SpillChoice",
     "SpillPolicy",
@@ -65,6 +84,7 @@
     "WaitSettings",
     "WaitingCall",
     "connection_share",
+    "fair_level",
     "make_replica_policy",
     "make_spill_policy",
     "make_wait_policy",
--- a/filbertreach/decisions/_leaf.py
+++ b/filbertreach/decisions/_leaf.py
@@ -158,6 +158,11 @@
         """When a call was last sent, in seconds of the dispatch clock."""
         return self._last_started_at
 
+    @property
+    def reported_at(self) -> float:
+        """When the last load report was received, in seconds; negative infinity before that."""
+        return self._reported_at
+
     def has_room(self, now: float) -> bool:
         """Returns whether one more call may be sent to the leaf.
 
--- a/filbertreach/entry/_process_limit.py
+++ b/filbertreach/entry/_process_limit.py
@@ -1,7 +1,7 @@
 """Limit on one process's queries in progress, divided among ranks and clients."""
 
+from filbertreach.decisions import FairShare, ShareDecision
 from filbertreach.entry._admission_policy import AdmissionRequest, RefusalReason
-from filbertreach.entry._fair_share import FairShare, ShareDecision
 
 _PRIORITY_STEP = 0.05
 """Share of the process's queries that stays free for each more urgent rank."""
--- a/filbertreach/entry/_queue_estimate.py
+++ b/filbertreach/entry/_queue_estimate.py
@@ -7,6 +7,7 @@
 
 from collections import OrderedDict
 
+from filbertreach.decisions import FairShare, ShareDecision
 from filbertreach.entry._admission_policy import (
     AdmissionRequest,
     AdmissionSettings,
@@ -15,7 +16,6 @@
     Refuse,
     register_admission_policy,
 )
-from filbertreach.entry._fair_share import FairShare, ShareDecision
 from filbertreach.entry._local_delay import LocalDelayEstimator, LocalDelaySample
 from filbertreach.entry._process_limit import ProcessLimit
 from filbertreach.entry._query_window import QueryWindow
--- a/filbertreach/entry/tests/test_admission.py
+++ b/filbertreach/entry/tests/test_admission.py
@@ -1,13 +1,10 @@
 """Tests admission: overload, a rank or a client must not take the capacity that others keep."""
 
-import math
-
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from filbertreach.entry._admission import AdmissionRequest, Admit, Refuse, make_admission
-from filbertreach.entry._fair_share import FairShare, ShareDecision, fair_level
 from filbertreach.timing import FakeClock
 
 QUERY = AdmissionRequest("shop", "booking", 0, "hotel", 1.0, ("fleet", "orders"), 1.0, 0.1, 0.2)
@@ -218,30 +215,3 @@
     for end in running:
         admission.on_finished(end, 0.01, "answered", now)
     assert len(admitted_of(admission, [QUERY], now + 60.0)) == 1
-
-
-def test_level_of_an_earlier_overload_is_discarded():
-    fair_share = FairShare()
-    for step in range(100):
-        fair_share.record_arrival("flood", 1.0, 1.0, step * 0.001)
-    fair_share.record_full(0.1)
-    decisions = [
-        fair_share.record_arrival("flood", 1.0, 1.0, 0.1 + step * 0.001) for step in range(1, 5)
-    ]
-    assert decisions[1:] == [ShareDecision.THROTTLED] * 3
-    assert fair_share.record_arrival("flood", 1.0, 1.0, 2.0) is not ShareDecision.THROTTLED
-    assert not fair_share.limiting
-
-
-@settings(derandomize=True, deadline=None)
-@given(
-    st.lists(st.tuples(st.floats(0.1, 100), st.floats(0.1, 10)), min_size=1, max_size=10),
-    st.floats(0.1, 500),
-)
-def test_fair_level_uses_the_capacity(demands, capacity):
-    level = fair_level(demands, capacity)
-    used = sum(min(rate, weight * level) for rate, weight in demands)
-    if math.isinf(level):
-        assert used <= capacity * (1 + 1e-9)
-    else:
-        assert used == pytest.approx(capacity)
