Quotas: accounts get shares while leaves are under pressure, section [account_shares]

Load: one account, or a few, send many times their usual rate within their quotas, and leaves can't serve all of it. Until now every account lost requests alike.

Change: with [account_shares] enabled (off by default), gateways add the median of the calls per slot that leaves reported to them within 1 s, with its age, to POST /v1/quota. The quota host takes the median over its hosts and asks AccountShares about what the quota allows. A refusal is a 503 with Retry-After and reason over_share, before anything is sent; its credit goes back. Log lines at the quota host when shares begin and end, metrics by rank and reason, never by account. GET /v1/accounts shows limit and use of at most 20 accounts, without keys. The duties of the quota host moved from _fleet.py to _granting.py, the refusal from gateway/_process.py to _quota_refusal.py.

Without the section, messages have the fields of before and nothing is refused (test_without_shares_the_messages_are_those_of_before). The log line 'refused' of quotas has the rank in addition.

Measured: three gateway processes with stand-in leaves that name 3 calls per slot for 2.5 s refuse the account with over_share then, and not before or after (test_an_account_over_its_share_is_refused_only_under_pressure).

--- a/filbertreach/gateway/_metrics.py
+++ b/filbertreach/gateway/_metrics.py
@@ -113,3 +113,10 @@
         rank: Rank, 0 for the most urgent one.
     """
     return str(min(rank, _MAX_RANK_LABEL))
+
+
+QUOTA_REFUSALS = prometheus_client.Counter(
+    "filbertreach_gateway_quota_refusals",
+    "Requests refused before anything was sent because of their account's quota or share",
+    ["rank", "reason"],
+)
--- a/filbertreach/gateway/_neighbour_application.py
+++ b/filbertreach/gateway/_neighbour_application.py
@@ -16,7 +16,14 @@
     read_request_body,
     respond,
 )
-from filbertreach.quotas import DEMAND_PATH, QUOTA_PATH, FleetQuotas, QuotaError
+from filbertreach.quotas import (
+    ACCOUNTS_PATH,
+    DEMAND_PATH,
+    MAX_SHOWN_ACCOUNTS,
+    QUOTA_PATH,
+    FleetQuotas,
+    QuotaError,
+)
 from filbertreach.schema import JsonDecoder, KnownHost, QuotaReport, QuotaRequest, parse_count
 
 _MAX_WAIT_SECONDS = 10.0
@@ -58,6 +65,9 @@
         if path in (QUOTA_PATH, DEMAND_PATH) and scope["method"] == "POST" and quotas is not None:
             await _answer_about_quotas(quotas, path, receive, send)
             return
+        if path == ACCOUNTS_PATH and scope["method"] == "GET" and quotas is not None:
+            await _show_accounts(quotas, scope["query_string"], send)
+            return
         if path not in (HOSTS_PATH, CHANGES_PATH):
             await respond(send, 404, b'{"title": "not found"}\n', _PROBLEM_TYPE)
             return
@@ -94,6 +104,20 @@
     await respond(send, 200, compress(msgspec.json.encode(reply)), "application/zlib")
 
 
+async def _show_accounts(quotas: FleetQuotas, query_string: bytes, send: Send) -> None:
+    """Shows operators the use of the accounts that a query names, or of those with most demand."""
+    try:
+        query = urllib.parse.parse_qsl(
+            query_string.decode("ascii"), errors="strict", max_num_fields=MAX_SHOWN_ACCOUNTS
+        )
+        names = tuple(value for field, value in query if field == "name")
+    except ValueError as error:
+        detail = msgspec.json.encode({"title": f"unusable query: {error!r}"})
+        await respond(send, 400, detail, _PROBLEM_TYPE)
+        return
+    await respond(send, 200, msgspec.json.encode(quotas.account_use(names)), "application/json")
+
+
 def _count(text: str) -> int:
     count = parse_count(text.encode())
     if count is None:
--- a/filbertreach/gateway/_policy.py
+++ b/filbertreach/gateway/_policy.py
@@ -17,6 +17,8 @@
     spill_over: CrossingCosts | None = None
     """Costs by which load decides how much is sent to other data centres; None to prefer the near
     leaves by fixed penalties."""
+    account_shares: bool = False
+    """Whether accounts get fair shares while leaves are under pressure."""
 
 
 def load_policy(path: str) -> Result[GatewayPolicy, SettingsError]:
@@ -41,4 +43,5 @@
         )
         if spill_over["enabled"]
         else None,
+        account_shares=values["account_shares"]["enabled"],
     )
--- a/filbertreach/gateway/_process.py
+++ b/filbertreach/gateway/_process.py
@@ -14,6 +14,7 @@
 from filbertreach.gateway._directory import Directory
 from filbertreach.gateway._discovery import StoreFollower
 from filbertreach.gateway._leaf_handle import Location
+from filbertreach.gateway._leaf_pressure import LeafPressure
 from filbertreach.gateway._loop_probe import LoopProbe
 from filbertreach.gateway._metrics import (
     CALLERS_LEFT,
@@ -28,6 +29,7 @@
 from filbertreach.gateway._neighbours import Neighbours
 from filbertreach.gateway._policy import GatewayPolicy
 from filbertreach.gateway._query import Query, QueryResult
+from filbertreach.gateway._quota_refusal import refuse_quota
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
 from filbertreach.observability import Health, get_logger
 from filbertreach.platform import (
@@ -135,6 +137,9 @@
             hosts=self.neighbours,
             bounds=_quota_bounds(settings),
             clock=self._clock,
+            pressure=LeafPressure(pool_by_service=self.directory.pool_by_service, clock=self._clock)
+            if self._policy.account_shares
+            else None,
         )
         """Grants requests of client accounts with a quota."""
         self._in_progress = 0
@@ -265,7 +270,7 @@
         if account.quota is not None:
             decision = await self.quotas.acquire(account.name)
             if not decision.is_granted:
-                return _refuse_quota(decision, request, route, account, table.version)
+                return refuse_quota(decision, request, route, account, table.version)
         return _Access(request, route, account, decision)
 
     def _make_query(
@@ -415,25 +420,3 @@
         slack=bounds.quota_slack,
         data_centres=max(1, len(settings.region_by_data_centre)),
     )
-
-
-def _refuse_quota(
-    decision: QuotaDecision,
-    request: CallerRequest,
-    route: Route,
-    account: ClientAccount,
-    version: int,
-) -> CallerAnswer:
-    """Logs and creates the refusal of a request that its quota does not allow now."""
-    status = 429 if decision.outcome == "over_quota" else 503
-    _LOGGER.info(
-        "refused",
-        request=request.id,
-        status=status,
-        reason=decision.outcome,
-        account=account.name,
-        route=route.name,
-        version=version,
-    )
-    reason = "the quota of the account is used up" if status == 429 else "the quota is not known"
-    return refuse(status, reason, retry_after_seconds=decision.retry_after_seconds)
--- a/filbertreach/quotas/_client.py
+++ b/filbertreach/quotas/_client.py
@@ -22,6 +22,8 @@
 """Path at which a quota host grants requests."""
 DEMAND_PATH = "/v1/quota-demand"
 """Path at which a seed takes reports of quota hosts."""
+ACCOUNTS_PATH = "/v1/accounts"
+"""Path at which a gateway shows the use of accounts."""
 REQUEST_TIMEOUT_SECONDS = 0.15
 """Timeout of an exchange with the quota host of the same data centre."""
 _REPORT_TIMEOUT_SECONDS = 0.7
--- a/filbertreach/quotas/_fleet.py
+++ b/filbertreach/quotas/_fleet.py
@@ -9,16 +9,20 @@
 import anyio
 import anyio.abc
 
+from filbertreach.decisions import AccountShares
 from filbertreach.document import AccountTable, Quota
 from filbertreach.observability import get_logger
+from filbertreach.quotas._account_use import account_use_page
 from filbertreach.quotas._board import ReportBoard
 from filbertreach.quotas._bounds import QuotaBounds
 from filbertreach.quotas._client import QuotaClient, QuotaError
+from filbertreach.quotas._granting import PressureSource, QuotaGrants
 from filbertreach.quotas._ledger import QuotaLedger
 from filbertreach.quotas._metrics import QUOTA_DECISIONS, QUOTA_PART, QUOTA_RETURNS
 from filbertreach.quotas._parts import PartDelegation
 from filbertreach.quotas._pending import QuotaDecision, Waiter, WaiterQueue, count_by_account
 from filbertreach.schema import (
+    AccountUsePage,
     KnownHost,
     QuotaPeers,
     QuotaReply,
@@ -84,6 +88,7 @@
         hosts: QuotaHosts | None,
         bounds: QuotaBounds,
         clock: Clock,
+        pressure: PressureSource | None = None,
     ) -> None:
         """Creates a state without quotas.
 
@@ -95,8 +100,11 @@
             hosts: The other hosts; None if this host decides alone.
             bounds: Bounds of the deployment.
             clock: Source of time; it has to include suspension of the machine.
+            pressure: Source of the pressure of leaves, by which accounts get shares; None to apply
+                no shares.
         """
         self._host = host
+        self._data_centre = data_centre
         self._address = address
         self._seeds = seeds if hosts is not None else ()
         self._hosts = hosts
@@ -105,10 +113,13 @@
         self._ledger = QuotaLedger(
             sender=self._sender, data_centre=data_centre, bounds=bounds, now=clock.now()
         )
+        self._pressure = pressure
+        self._grants = QuotaGrants(
+            ledger=self._ledger, shares=AccountShares() if pressure is not None else None
+        )
         self._delegation = PartDelegation(now=clock.now())
         self._board = ReportBoard()
         self._client = QuotaClient()
-        self._accounts: AccountTable | None = None
         self._quota_host: KnownHost | None = None
         """Quota host of this data centre, None for this host."""
         self._answered_clock: tuple[str, float] | None = None
@@ -152,9 +163,9 @@
         Args:
             accounts: The accounts; None for none.
         """
-        if accounts is self._accounts:
+        if accounts is self._grants.accounts:
             return
-        self._accounts = accounts
+        self._grants.accounts = accounts
         quota_by_account: dict[str, Quota] = {}
         if accounts is not None:
             for name, account in accounts.account_by_name.items():
@@ -212,20 +223,12 @@
 
     def _decide_here(self, account: str) -> QuotaDecision:
         now = self._clock.now()
-        if self._grant(account, 1, now):
+        grant = self._grants.grant(account, 1, now)
+        if grant.granted:
             return QuotaDecision(account, "granted", now, self._host)
-        return self._refuse(account, "over_quota", self._ledger.expected_wait(account, now))
-
-    def _grant(self, account: str, count: int, now: float) -> int:
-        """Grants requests as quota host.
-
-        An account that the configuration names without a quota has no limit. The configuration of
-        the asking gateway may be older. An account that it does not name is refused.
-        """
-        if account in self._ledger.quota_by_account:
-            return self._ledger.take(account, count, now)
-        is_known = self._accounts is not None and account in self._accounts.account_by_name
-        return count if is_known else 0
+        if grant.over_share:
+            return self._refuse(account, "over_share", grant.share_wait_seconds)
+        return self._refuse(account, "over_quota", grant.quota_wait_seconds)
 
     def _refuse(self, account: str, outcome: str, wait_seconds: float) -> QuotaDecision:
         seconds = min(max(_MIN_RETRY_SECONDS, wait_seconds), _MAX_RETRY_SECONDS) * random.uniform(
@@ -289,6 +292,9 @@
         self, quota_host: KnownHost, requested: dict[str, int], now: float
     ) -> QuotaRequest:
         request = QuotaRequest(host=self._host, requested=requested, returned={})
+        if self._pressure is not None and (pressure := self._pressure()) is not None:
+            request["pressure"] = pressure.calls_per_slot
+            request["pressure_age_seconds"] = pressure.age_seconds
         if self._answered_clock is None or self._answered_clock[0] != quota_host["name"]:
             self._returned_by_account.clear()
             return request
@@ -302,11 +308,16 @@
         self, waiters: list[Waiter], reply: QuotaReply, quota_host: str, sent_at: float
     ) -> None:
         granted = dict(reply["granted"])
+        over_share = dict(reply.get("over_share", {}))
         for waiter in waiters:
             account = waiter.account
             if granted.get(account, 0) <= 0:
-                wait = reply["wait_seconds"].get(account, _UNAVAILABLE_RETRY_SECONDS)
-                waiter.decide(self._refuse(account, "over_quota", wait))
+                outcome, waits = "over_quota", reply["wait_seconds"]
+                if over_share.get(account, 0) > 0:
+                    over_share[account] -= 1
+                    outcome, waits = "over_share", reply.get("share_wait_seconds", {})
+                wait = waits.get(account, _UNAVAILABLE_RETRY_SECONDS)
+                waiter.decide(self._refuse(account, outcome, wait))
                 continue
             granted[account] -= 1
             waiter.decide(QuotaDecision(account, "granted", sent_at, quota_host))
@@ -316,6 +327,8 @@
     def _delegate_here(self) -> None:
         now = self._clock.now()
         self._ledger.advance.on_asked(self._host, now)
+        if self._pressure is not None:
+            self._grants.on_pressure(self._host, self._pressure(), now)
         if self._delegation.try_delegate(self._host, now):
             self._ledger.parts.on_delegation(self._host, delegated_after=now, now=now)
 
@@ -335,20 +348,7 @@
             raise QuotaError("this host has no quotas in force")
         if len(request["requested"]) + len(request["returned"]) > _MAX_REQUESTED_ACCOUNTS:
             raise ValueError(f"a request names more than {_MAX_REQUESTED_ACCOUNTS} accounts")
-        now = self._clock.now()
-        if "delegated_after" in request:
-            self._ledger.parts.on_delegation(
-                request["host"], delegated_after=request["delegated_after"], now=now
-            )
-        self._ledger.advance.on_asked(request["host"], now)
-        for account, count in request["returned"].items():
-            self._ledger.give_back(account, count, now)
-        reply = QuotaReply(clock=now, granted={}, wait_seconds={})
-        for account, count in request["requested"].items():
-            reply["granted"][account] = granted = self._grant(account, count, now)
-            if granted < count:
-                reply["wait_seconds"][account] = self._ledger.expected_wait(account, now)
-        return reply
+        return self._grants.on_request(request, self._clock.now())
 
     def on_report(self, report: QuotaReport) -> QuotaPeers:
         """Keeps the report of a quota host, as a seed.
@@ -361,12 +361,28 @@
         """
         return self._board.exchange(report, self._clock.now())
 
+    def account_use(self, names: tuple[str, ...] = ()) -> AccountUsePage:
+        """Returns the use of client accounts as this host knows it; no keys.
+
+        Args:
+            names: Accounts that are wanted; empty for those with the most demand.
+        """
+        return account_use_page(
+            self._grants,
+            names,
+            host=self._host,
+            data_centre=self._data_centre,
+            quota_host=self._quota_host,
+            now=self._clock.now(),
+        )
+
     async def _run_reports(self) -> None:
         while True:
             self._note_hosts()
             if self._seeds and self._ledger.has_activity(self._clock.now()):
                 self._report()
             QUOTA_PART.set(self._ledger.parts.fraction(self._clock.now()))
+            self._grants.report_shares(self._clock.now())
             await anyio.sleep(_INTERVAL_SECONDS)
 
     def _note_hosts(self) -> None:
--- a/filbertreach/quotas/_ledger.py
+++ b/filbertreach/quotas/_ledger.py
@@ -7,7 +7,7 @@
 from filbertreach.quotas._advance import QuotaAdvance
 from filbertreach.quotas._bounds import QuotaBounds
 from filbertreach.quotas._bucket import QuotaBucket
-from filbertreach.quotas._demand import DemandMeter
+from filbertreach.quotas._demand import DemandMeter, GrantedRates
 from filbertreach.quotas._loans import Peers
 from filbertreach.quotas._parts import LOAN_SECONDS, DelegatedParts
 from filbertreach.quotas._sharing import allowed_loans, desired_loans
@@ -62,6 +62,8 @@
         """Grants until the delegated parts yield enough."""
         self.quota_by_account: dict[str, Quota] = {}
         """Quotas in force."""
+        self.granted_rates = GrantedRates()
+        """Requests per second that this host has granted lately."""
         self._sender = sender
         self._data_centre = data_centre
         self._bounds = bounds
@@ -121,6 +123,7 @@
                 hosts=self.parts.known_hosts,
                 now=now,
             )
+        self.granted_rates.add(account, granted, now)
         return granted
 
     def give_back(self, account: str, count: int, now: float) -> None:
@@ -133,6 +136,7 @@
         """
         if account not in self.quota_by_account or count <= 0:
             return
+        self.granted_rates.add(account, -count, now)
         if self._has_new_part(now):
             # The advance is used after the bucket, so it gets its credit back first.
             count -= self.advance.give_back(account, count)
@@ -186,6 +190,43 @@
             demand = {account: demand[account] for account in largest[:_MAX_REPORTED_ACCOUNTS]}
         return demand
 
+    def demand_by_data_centre(self, account: str, now: float) -> dict[str, float]:
+        """Returns the requests per second of an account that quota hosts count.
+
+        Args:
+            account: Name of the account.
+            now: Current clock, in seconds.
+
+        Returns:
+            Requests per second by data centre. Those of other data centres are as reported and
+            include what would fill the buckets there.
+        """
+        by_data_centre: dict[str, float] = {}
+        meter = self._meter_by_account.get(account)
+        if meter is not None and (per_second := meter.per_second(now)) > 0.0:
+            by_data_centre[self._data_centre] = per_second
+        for peer in self._peers.by_sender.values():
+            if account in peer.demand and not peer.is_expired(now):
+                before = by_data_centre.get(peer.data_centre, 0.0)
+                by_data_centre[peer.data_centre] = before + peer.demand[account]
+        return by_data_centre
+
+    def total_demand(self, now: float) -> dict[str, float]:
+        """Returns the requests per second of all accounts that quota hosts count, by account.
+
+        Args:
+            now: Current clock, in seconds.
+        """
+        accounts = set(self._meter_by_account)
+        for peer in self._peers.by_sender.values():
+            accounts.update(peer.demand)
+        return {
+            account: per_second
+            for account in accounts
+            if account in self.quota_by_account
+            and (per_second := sum(self.demand_by_data_centre(account, now).values())) > 0.0
+        }
+
     def on_peer_demand(self, peers: QuotaPeers, now: float) -> None:
         """Applies a seed's reply: the demand of other quota hosts and what they lend.
 
@@ -246,6 +287,7 @@
         for account in list(self._meter_by_account):
             if self._wanted_per_second(account, now) == 0.0:
                 del self._meter_by_account[account]
+        self.granted_rates.remove_unused(now)
         for account in list(self._bucket_by_account):
             if account in self._meter_by_account or account in self._lent_by_account:
                 continue
--- a/filbertreach/quotas/_loans.py
+++ b/filbertreach/quotas/_loans.py
@@ -35,6 +35,8 @@
         """Creates the state of a peer that has not reported."""
         self.demand: dict[str, float] = {}
         """Requests per second by account."""
+        self.data_centre = ""
+        """Data centre of the peer."""
         self._number = -1
         self._confirmed_number = 0
         self._heard_at = -math.inf
@@ -78,6 +80,7 @@
         self._heard_at = now - max(0.0, report["age_seconds"])
         self._confirmed_number = max(self._confirmed_number, report["heard"])
         self.demand = report["demand"]
+        self.data_centre = report["data_centre"]
         before, self._borrowed = self._borrowed, report["lent"]
         self._borrowed_until = own_report_at + LOAN_SECONDS
         return before, self._borrowed
--- a/filbertreach/quotas/_metrics.py
+++ b/filbertreach/quotas/_metrics.py
@@ -21,3 +21,11 @@
 QUOTA_PART = prometheus_client.Gauge(
     "filbertreach_quota_part", "Fraction of all quotas that gateways have delegated to this host"
 )
+LEAF_PRESSURE = prometheus_client.Gauge(
+    "filbertreach_quota_leaf_pressure",
+    "Median of the calls per slot that gateways report to this quota host; 0 if it is unknown",
+)
+SHARES_APPLIED = prometheus_client.Gauge(
+    "filbertreach_quota_shares_applied",
+    "Whether this quota host refuses requests of accounts over their share",
+)
--- a/filbertreach/quotas/_pending.py
+++ b/filbertreach/quotas/_pending.py
@@ -12,7 +12,7 @@
     account: str
     """Name of the account."""
     outcome: str
-    """granted, over_quota, no_quota_host or paused."""
+    """granted, over_quota, over_share, no_quota_host or paused."""
     decided_at: float
     """Clock when the request was granted, in seconds."""
     granted_by: str = ""
--- a/filbertreach/schema/__init__.py
+++ b/filbertreach/schema/__init__.py
@@ -17,6 +17,8 @@
     SnapshotSection,
 )
 from filbertreach.schema._generated_messages import (
+    AccountUse,
+    AccountUsePage,
     Answer,
     Call,
     CallBoardCopy,
@@ -60,6 +62,8 @@
 from filbertreach.schema._numbers import Int64, NonNegativeInt64, PositiveInt64, parse_count
 
 __all__ = [
+    "AccountUse",
+    "AccountUsePage",
     "AgentSection",
     "Answer",
     "ApplicationSection",
--- a/filbertreach/schema/_generated_messages.py
+++ b/filbertreach/schema/_generated_messages.py
@@ -638,6 +638,14 @@
     """
     Clock of the quota host as its last reply stated it, in seconds. Present if the asking host delegates its part of all quotas to the quota host.
     """
+    pressure: NotRequired[float]
+    """
+    Running and waiting calls per slot of the leaves that the asking host calls, as they report it; absent if it has no recent report or applies no account shares.
+    """
+    pressure_age_seconds: NotRequired[float]
+    """
+    Time since the newest of these reports; absent without pressure.
+    """
 
 
 class QuotaReply(TypedDict):
@@ -657,6 +665,14 @@
     """
     Time until a request can be granted, for accounts of which fewer requests were granted than requested.
     """
+    over_share: NotRequired[dict[str, NonNegativeInt64]]
+    """
+    Requests that the quota allows and that were refused because the account is over its share, by account; absent for none.
+    """
+    share_wait_seconds: NotRequired[dict[str, float]]
+    """
+    Time after which a request may be within the share again, for the accounts of over_share; absent for none.
+    """
 
 
 class QuotaReport(TypedDict):
@@ -744,6 +760,76 @@
     """
 
 
+class AccountUse(TypedDict):
+    """
+    Use of one client account as a quota host knows it.
+    """
+
+    name: str
+    """
+    Account name.
+    """
+    rate_per_s: float
+    """
+    Requests per second that the quota allows over all hosts.
+    """
+    burst: float
+    """
+    Requests beyond the rate that the quota allows at once.
+    """
+    granted_per_s: float
+    """
+    Requests per second that this host has granted lately.
+    """
+    share: float
+    """
+    Fraction of the quota that this host grants.
+    """
+    demand_by_data_centre: dict[str, float]
+    """
+    Requests per second that quota hosts report, by their data centre; includes what would fill their buckets again.
+    """
+
+
+class AccountUsePage(TypedDict):
+    """
+    Accounts with a quota as one gateway knows them.
+    """
+
+    host: str
+    """
+    Host that answers.
+    """
+    data_centre: str
+    """
+    Data centre of the host.
+    """
+    is_active: bool
+    """
+    Whether its configuration has quotas.
+    """
+    applies_shares: bool
+    """
+    Whether it refuses requests of accounts over their share at present.
+    """
+    pressure: NotRequired[float]
+    """
+    Median of the calls per slot that hosts of the data centre report; absent if unknown.
+    """
+    total_accounts: NonNegativeInt64
+    """
+    Accounts with a quota in its configuration.
+    """
+    accounts: list[AccountUse]
+    """
+    The accounts that were named, or those with the most use.
+    """
+    quota_host: NotRequired[KnownHost]
+    """
+    Quota host of the data centre; absent if it is this host.
+    """
+
+
 class Frame(TypedDict):
     """
     Unit of transfer between two processes; carries many messages.
--- a/filbertreach/schema/_generated_policy.py
+++ b/filbertreach/schema/_generated_policy.py
@@ -6,6 +6,17 @@
 from typing import NotRequired, TypedDict
 
 
+class AccountSharesSection(TypedDict):
+    """
+    Fair shares of client accounts while leaves are under pressure.
+    """
+
+    enabled: NotRequired[bool]
+    """
+    Whether the gateway reports the pressure of leaves to its quota host and, as quota host, refuses requests of accounts over their share while it is high.
+    """
+
+
 class AdmissionSection(TypedDict):
     """
     Refusal of requests that can't be served in time.
@@ -41,5 +52,6 @@
     Decisions under load that operators switch on in the gateway, written in INI.
     """
 
+    account_shares: NotRequired[AccountSharesSection]
     admission: NotRequired[AdmissionSection]
     spill_over: NotRequired[SpillOverSection]
--- a/filbertreach_standins/deployment/_leaf.py
+++ b/filbertreach_standins/deployment/_leaf.py
@@ -20,6 +20,12 @@
         non_negative_number,
         "requests per second that answers name as the limit of the leaf; 0: none",
     ),
+    Fault(
+        "waiting",
+        0.0,
+        non_negative_number,
+        "waiting calls that answers name, besides 4 running ones on 4 slots; 0: no load is named",
+    ),
     Fault("leaving", False, one_of(False, True), "true: answers say that the leaf is leaving"),
     Fault(
         "retry_after",
@@ -115,6 +121,8 @@
         stamp_headers = [(b"x-request-id", request_id), (b"x-server-stamp", stamp)]
         if limit := self.faults.value("request_limit"):
             stamp_headers.append((b"server-limit", str(limit).encode()))
+        if waiting := int(self.faults.value("waiting")):
+            stamp_headers.append((b"x-server-load", f"4,{waiting},4".encode()))
         if self.faults.value("leaving"):
             stamp_headers.append((b"server-leaving", b"1"))
         await send_bytes(send, status, records_of(self._leaf_id), stamp_headers)
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -22,6 +22,8 @@
 _FREE_KEY = "k-90aa17b2"
 _START_SECONDS = 9.0
 """Time after the start of a gateway until it grants its part in full."""
+_OBSERVED_SECONDS = 2.5
+"""Time in which a change of the pressure takes effect, and some requests are sent."""
 
 
 class _Caller:
@@ -72,10 +74,10 @@
     )
 
 
-def _set_accounts(deployment: Deployment, version: int) -> None:
+def _set_accounts(deployment: Deployment, version: int, rate: float = _RATE) -> None:
     body = json.loads(configuration_json(version, ["/v1/"], shards=deployment.options.shards))
     body["tenants"] = [
-        {"name": "acme", "api_keys": [_KEY], "rate_per_s": _RATE, "burst": _BURST},
+        {"name": "acme", "api_keys": [_KEY], "rate_per_s": rate, "burst": _BURST},
         {"name": "free", "api_keys": [_FREE_KEY]},
     ]
     deployment.write_keys({"op/config": json.dumps(body)})
@@ -143,3 +145,41 @@
     assert {line["status"] for line in lines} == {429}
     for gateway in deployment.gateways:
         assert _KEY not in gateway.log()
+
+
+def _reasons(deployment: Deployment) -> list[str]:
+    return [
+        line["reason"]
+        for gateway in deployment.gateways
+        for line in gateway.log_lines("refused")
+        if line.get("account") == "acme"
+    ]
+
+
+def test_an_account_over_its_share_is_refused_only_under_pressure(tmp_path: pathlib.Path) -> None:
+    """Guards against shares that no process applies, and against refusals without pressure."""
+    options = DeploymentOptions(policy="[account_shares]\nenabled = true\n")
+    with Deployment(options=options, folder=tmp_path) as deployment:
+        _set_accounts(deployment, 100, rate=1000.0)
+        time.sleep(_START_SECONDS)
+        callers = [_Caller(gateway, _KEY, 0.02) for gateway in deployment.gateways]
+        with callers[0], callers[1], callers[2]:
+            time.sleep(_OBSERVED_SECONDS)
+            assert "over_share" not in _reasons(deployment)
+            for leaf in deployment.leaves:
+                leaf.set_faults(waiting=8)
+            time.sleep(_OBSERVED_SECONDS)
+            for leaf in deployment.leaves:
+                leaf.set_faults(waiting=None)
+            time.sleep(_OBSERVED_SECONDS)
+            count = len(_reasons(deployment))
+            time.sleep(_OBSERVED_SECONDS)
+            assert len(_reasons(deployment)) == count
+        assert _reasons(deployment).count("over_share") > 20
+        assert {status for caller in callers for status in caller.statuses} == {200, 503}
+        assert all(text and float(text) > 0.0 for c in callers for text in c.retry_after)
+        quota_host = _quota_host(deployment)
+        assert quota_host.log_lines("account shares applied")
+        assert quota_host.log_lines("account shares no longer applied")
+        for gateway in deployment.gateways:
+            assert _KEY not in gateway.log()
