filbertreach-ctl accounts: limit, use and data centres of client accounts

Operators could not see how much of its quota an account uses and where. The verb asks gateways for GET /v1/accounts, follows the quota host that they name, and shows the 20 accounts with the most demand or those named, in text or JSON. Accounts without a quota are unknown to quota hosts and not shown.

Tested against the application that gateways serve to their neighbours, in one process (test_operators_see_limit_use_and_data_centre_of_accounts: 60 accounts, 20 shown, no key in any page).

--- a/filbertreach/ctl/__main__.py
+++ b/filbertreach/ctl/__main__.py
@@ -12,6 +12,7 @@
 
 from filbertreach import __version__
 from filbertreach.ctl import (
+    _verbs_accounts,
     _verbs_calls,
     _verbs_check,
     _verbs_explain,
@@ -27,7 +28,14 @@
 from filbertreach.schema import CtlSettings
 from filbertreach.settings import load, load_text
 
-_VERB_MODULES = (_verbs_read, _verbs_check, _verbs_write, _verbs_calls, _verbs_explain)
+_VERB_MODULES = (
+    _verbs_read,
+    _verbs_check,
+    _verbs_write,
+    _verbs_calls,
+    _verbs_explain,
+    _verbs_accounts,
+)
 """Imported for their side effect: each module registers its verbs."""
 _SETTINGS_VARIABLE = "FILBERTREACH_CTL_SETTINGS"
 _DEFAULT_SETTINGS = "/etc/filbertreach/ctl.ini"
--- a/filbertreach/quotas/tests/test_quota_shares.py
+++ b/filbertreach/quotas/tests/test_quota_shares.py
@@ -1,10 +1,15 @@
 """Tests shares of accounts at a quota host: who is refused, what is returned, what is sent."""
 
 import contextlib
+import json
+import subprocess
+import sys
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import anyio
+import anyio.to_thread
+import httpcore
 import pytest
 
 from filbertreach.decisions import AccountShares, Pressure
@@ -220,3 +225,53 @@
             assert reply.keys() == {"clock", "granted", "wait_seconds"}
 
     _run(test, has_shares=False)
+
+
+async def _ctl(*arguments: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "filbertreach.ctl", "accounts", *arguments]
+
+    def run() -> subprocess.CompletedProcess[str]:
+        return subprocess.run(command, capture_output=True, text=True, check=False, timeout=60)
+
+    return await anyio.to_thread.run_sync(run)
+
+
+def test_operators_see_limit_use_and_data_centre_of_accounts() -> None:
+    """Guards against a page that grows with the accounts, lacks their use, or shows keys."""
+
+    async def test(pair: _Pair) -> None:
+        pair.pressure = _HIGH
+        for n in range(1, 40):
+            await pair.gateway.acquire(f"account-{n}")
+        await pair.outcomes(pair.gateway)
+        # The gateway is not the quota host and names it.
+        result = await _ctl("--gateway", pair.gateway_address, "--json")
+        assert result.returncode == 0, result.stderr
+        accounts = json.loads(result.stdout)["accounts"]
+        assert len(accounts) == 20
+        assert accounts[0]["name"] == "flood"
+        assert (accounts[0]["rate_per_s"], accounts[0]["burst"]) == _QUOTA
+        assert accounts[0]["used_per_s"]["minho-1"] > 1.0
+        assert accounts[0]["demand_per_s"]["minho-1"] > 1.0
+
+        result = await _ctl("account-7", "account-50", "--gateway", pair.address)
+        assert result.returncode == 0, result.stderr
+        assert "minho-1: quota host host-a, 60 accounts with a quota" in result.stdout
+        lines = result.stdout.splitlines()
+        assert sorted(line.partition(":")[0] for line in lines[1:]) == ["account-50", "account-7"]
+        assert "used of 1000/s (burst 500)" in lines[1]
+
+        result = await _ctl("other", "--gateway", pair.address)
+        assert result.returncode == 1
+        assert "accounts without a quota: other" in result.stderr
+        result = await _ctl("--gateway", free_address())
+        assert result.returncode == 4
+        async with httpcore.AsyncConnectionPool() as pool:
+            named = "&".join(["name=flood"] * 21)
+            for query, status in (("name=%ff", 400), (named, 400), ("name=other", 200)):
+                url = f"http://{pair.address}/v1/accounts?{query}"
+                answer = await pool.request("GET", url)
+                assert answer.status == status
+                assert _KEY not in answer.content
+
+    _run(test, accounts=60)
