--- a/filbertreach/decisions/_account_shares.py
+++ b/filbertreach/decisions/_account_shares.py
@@ -28,7 +28,7 @@
 meanwhile."""
 _CORRECTION = 0.1
 """Relative decrease of what is admitted for each call per slot above the limit; below the limit, an
-increase. With 0.3, other accounts lost 2% of their requests while queues drained."""
+increase. With 0.3, other accounts lost up to 2% of their requests while queues drained."""
 _LEAST_FACTOR = 0.6
 """Smallest factor by which it is decreased. With 0.8, queues of calls of 250 ms never drained."""
 _MAX_PRESSURE = 8.0
