--- a/filbertreach/decisions/__init__.py
+++ b/filbertreach/decisions/__init__.py
@@ -1,11 +1,23 @@
-"""Load-balancing decisions shared by several programs: leaf, hedging, limits and wait time."""
+"""Load-balancing decisions of several programs: leaf, hedging, limits, shares and wait time."""
 
+from filbertreach.decisions._account_shares import (
+    PRESSURE_SECONDS,
+    AccountShares,
+    MedianPressure,
+    Pressure,
+)
 from filbertreach.decisions._admission_window import AdmissionWindow
 from filbertreach.decisions._caller_reserve import (
     MIN_CALLER_RESERVE_SECONDS,
     CallerReserve,
     RequestArrival,
 )
+from filbertreach.decisions._fair_share import (
+    FairShare,
+    FairShareSettings,
+    ShareDecision,
+    fair_level,
+)
 from filbertreach.decisions._hedging import HedgeBudget, HedgeDelay, may_hedge
 from filbertreach.decisions._latency import LatencyTracker
 from filbertreach.decisions._leaf import LeafOutcome, LeafState, LeafTracker
@@ -43,7 +55,9 @@
 __all__ = [
     "DISTANCES",
     "MIN_CALLER_RESERVE_SECONDS",
+    "PRESSURE_SECONDS",
     "RETURN_SECONDS",
+    "AccountShares",
     "AdmissionWindow",
     "CallerReserve",
     "ConcurrencyLimit",
@@ -51,6 +65,8 @@
     "DataCentreStatistics",
     "Distance",
     "EqualWait",
+    "FairShare",
+    "FairShareSettings",
     "HedgeBudget",
     "HedgeDelay",
     "LateShardLatencies",
@@ -60,10 +76,13 @@
     "LeafState",
     "LeafTracker",
     "LoadReturn",
+    "MedianPressure",
     "ObjectiveWait",
+    "Pressure",
     "ReplicaPolicy",
     "RequestArrival",
     "ServiceAdmission",
+    "ShareDecision",
     "SpillCandidate",
     "SpillChoice",
     "SpillPolicy",
@@ -73,6 +92,7 @@
     "WaitSettings",
     "WaitingCall",
     "connection_share",
+    "fair_level",
     "make_replica_policy",
     "make_spill_policy",
     "make_wait_policy",
--- a/filbertreach/gateway/_neighbour_application.py
+++ b/filbertreach/gateway/_neighbour_application.py
@@ -23,7 +23,14 @@
     read_request_body,
     respond,
 )
-from filbertreach.quotas import DEMAND_PATH, QUOTA_PATH, FleetQuotas, QuotaError
+from filbertreach.quotas import (
+    ACCOUNTS_PATH,
+    DEMAND_PATH,
+    MAX_SHOWN_ACCOUNTS,
+    QUOTA_PATH,
+    FleetQuotas,
+    QuotaError,
+)
 from filbertreach.schema import JsonDecoder, KnownHost, QuotaReport, QuotaRequest, parse_count
 
 _MAX_WAIT_SECONDS = 10.0
@@ -84,6 +91,9 @@
             query = dict(urllib.parse.parse_qsl(scope["query_string"].decode("latin-1")))
             await answer_about_leaves(observations, path, query, receive, send)
             return
+        if path == ACCOUNTS_PATH and scope["method"] == "GET" and quotas is not None:
+            await _show_accounts(quotas, scope["query_string"], send)
+            return
         if path not in (HOSTS_PATH, CHANGES_PATH, RETRY_HISTORIES_PATH):
             await respond(send, 404, b'{"title": "not found"}\n', _PROBLEM_TYPE)
             return
@@ -133,6 +143,20 @@
     await respond(send, 200, b"", "application/zlib")
 
 
+async def _show_accounts(quotas: FleetQuotas, query_string: bytes, send: Send) -> None:
+    """Shows operators the use of the accounts that a query names, or of those with most demand."""
+    try:
+        query = urllib.parse.parse_qsl(
+            query_string.decode("ascii"), errors="strict", max_num_fields=MAX_SHOWN_ACCOUNTS
+        )
+        names = tuple(value for field, value in query if field == "name")
+    except ValueError as error:
+        detail = msgspec.json.encode({"title": f"unusable query: {error!r}"})
+        await respond(send, 400, detail, _PROBLEM_TYPE)
+        return
+    await respond(send, 200, msgspec.json.encode(quotas.account_use(names)), "application/json")
+
+
 def _count(text: str) -> int:
     count = parse_count(text.encode())
     if count is None:
--- a/filbertreach/gateway/_policy.py
+++ b/filbertreach/gateway/_policy.py
@@ -24,6 +24,8 @@
     """Whether load returns over some seconds after an evacuation or a start of many leaves."""
     leaf_observations: bool = False
     """Whether observations of leaves are shared with the other hosts of the data centre."""
+    account_shares: bool = False
+    """Whether accounts get fair shares while leaves are under pressure."""
 
 
 def load_policy(path: str) -> Result[GatewayPolicy, SettingsError]:
@@ -51,4 +53,5 @@
         else None,
         load_return=values["load_return"]["enabled"],
         leaf_observations=values["leaf_observations"]["enabled"],
+        account_shares=values["account_shares"]["enabled"],
     )
