--- a/filbertreach/gateway/_command.py
+++ b/filbertreach/gateway/_command.py
@@ -156,7 +156,10 @@
                 group.start_soon(_reload_changed, process, path, mtime)
                 if settings.neighbour_address and process.neighbours:
                     application = neighbour_application(
-                        process.neighbours, process.change_log, process.quotas
+                        process.neighbours,
+                        process.change_log,
+                        process.quotas,
+                        process.quarantine,
                     )
                     group.start_soon(_serve_neighbours, settings.neighbour_address, application)
                 _LOGGER.info("started", serve=settings.serve_address, ready=settings.ready_address)
--- a/filbertreach/gateway/_directory.py
+++ b/filbertreach/gateway/_directory.py
@@ -13,7 +13,7 @@
     make_spill_policy,
 )
 from filbertreach.document import Route, RouteTable
-from filbertreach.gateway._leaf_handle import Location
+from filbertreach.gateway._leaf_handle import LeafHandle, Location
 from filbertreach.gateway._metrics import ROUTES_VERSION
 from filbertreach.gateway._request_turns import TurnSchedule
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
@@ -69,6 +69,7 @@
         on_change: Callable[[], None],
         admission: bool = False,
         spill_over: CrossingCosts | None = None,
+        on_idle_closed: Callable[[LeafHandle], None] | None = None,
     ) -> None:
         """Creates an empty directory.
 
@@ -83,6 +84,7 @@
             admission: Whether calls wait for a leaf with a place for their rank.
             spill_over: Costs by which load decides what is sent to other data centres; None to
                 prefer near leaves by fixed penalties.
+            on_idle_closed: Called when a leaf has closed a connection without a request.
         """
         self.table: RouteTable | None = None
         """Routes in force, None before the first configuration; the version never decreases."""
@@ -101,6 +103,7 @@
         self._on_change = on_change
         self._admission = admission
         self._spill_over = spill_over
+        self._on_idle_closed = on_idle_closed
         self._data_centre_statistics = DataCentreStatistics()
         self._spill_over_log = SpillOverLog()
         self._host_count: int | None = None
@@ -249,6 +252,7 @@
                     name="marginal_cost", costs=costs, statistics=self._data_centre_statistics
                 ),
                 spill_over_log=None if costs is None else self._spill_over_log,
+                on_idle_closed=self._on_idle_closed,
             )
             if self._host_count is not None:
                 pool.set_host_count(self._host_count)
--- a/filbertreach/gateway/_leaf_connection.py
+++ b/filbertreach/gateway/_leaf_connection.py
@@ -47,6 +47,9 @@
     def on_unusable(self, connection: "LeafConnection") -> None:
         """Called when the connection takes no further requests but is still open."""
 
+    def on_idle_closed(self) -> None:
+        """Called when the leaf has closed a connection without a request."""
+
     def on_closed(self, connection: "LeafConnection") -> None:
         """Called when the connection is closed."""
 
@@ -228,14 +231,21 @@
 
     def eof_received(self) -> None:
         """Processes the end of the stream, which also ends a response without a length."""
+        self._report_idle_close()
         if self._is_reusable:
             self._handle_responses(self._parser.end())
         self._mark_closed()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Marks the connection as closed."""
+        self._report_idle_close()
         self._mark_closed()
 
+    def _report_idle_close(self) -> None:
+        # A connection that this host closes is not reusable any more.
+        if self._is_reusable and self.exchange is None:
+            self._owner.on_idle_closed()
+
     def _mark_closed(self) -> None:
         self._disable_reuse()
         self._closed.set()
--- a/filbertreach/gateway/_leaf_handle.py
+++ b/filbertreach/gateway/_leaf_handle.py
@@ -1,6 +1,7 @@
 """A leaf as this host sees it: its entry, observed state, request limit and connections."""
 
 import math
+from collections.abc import Callable
 from typing import NamedTuple
 
 from filbertreach.decisions import Distance, LeafTracker, SpillCandidate
@@ -72,6 +73,7 @@
         hosts: int | None,
         schedule: TurnSchedule,
         clock: Clock,
+        on_idle_closed: Callable[["LeafHandle"], None] | None = None,
     ) -> None:
         """Creates a handle without connections.
 
@@ -82,6 +84,7 @@
             hosts: Number of hosts that call the leaf, this one included; None if unknown.
             schedule: Turns in which this host calls leaves that limit their requests.
             clock: Source of time.
+            on_idle_closed: Called when the leaf has closed a connection without a request.
         """
         self.entry = entry
         self.max_connections = connections
@@ -106,6 +109,7 @@
         """Clock until which the leaf may be chosen as a last resort; infinite while it is listed as
         ready."""
         self._clock = clock
+        self._on_idle_closed = on_idle_closed
         self._idle: list[LeafConnection] = []
         self._usable: set[LeafConnection] = set()
         """Connections that are being opened, carry a request or are idle; not those that are being
@@ -165,6 +169,11 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
+    def on_idle_closed(self) -> None:
+        """Reports that the leaf has closed a connection without a request."""
+        if self._on_idle_closed is not None:
+            self._on_idle_closed(self)
+
     def on_closed(self, connection: LeafConnection) -> None:
         """Removes a closed connection."""
         self._usable.discard(connection)
--- a/filbertreach/gateway/_neighbour_application.py
+++ b/filbertreach/gateway/_neighbour_application.py
@@ -16,8 +16,16 @@
     read_request_body,
     respond,
 )
+from filbertreach.quarantine import NOTICE_PATH, FleetQuarantine
 from filbertreach.quotas import DEMAND_PATH, QUOTA_PATH, FleetQuotas, QuotaError
-from filbertreach.schema import JsonDecoder, KnownHost, QuotaReport, QuotaRequest, parse_count
+from filbertreach.schema import (
+    JsonDecoder,
+    KnownHost,
+    QuarantineNotice,
+    QuotaReport,
+    QuotaRequest,
+    parse_count,
+)
 
 _MAX_WAIT_SECONDS = 10.0
 _MAX_SHOWN_CHARACTERS = 80
@@ -25,21 +33,28 @@
 _MAX_QUOTA_MESSAGE_BYTES = 256 * 1024
 """Bytes of a message about quotas. A seed keeps up to 128 of them; one with the largest number of
 accounts and loans, and names of 20 characters, has about 200 KB."""
+_MAX_NOTICE_BYTES = 256 * 1024
+"""Bytes of a message about requests that crash leaves: 50 entries with long names."""
 _PROBLEM_TYPE = "application/problem+json"
 
 _REQUEST_DECODER = JsonDecoder(message=QuotaRequest)
 _REPORT_DECODER = JsonDecoder(message=QuotaReport)
+_NOTICE_DECODER = JsonDecoder(message=QuarantineNotice)
 
 
 def neighbour_application(
-    neighbours: Neighbours, change_log: ChangeLog, quotas: FleetQuotas | None = None
+    neighbours: Neighbours,
+    change_log: ChangeLog,
+    quotas: FleetQuotas | None = None,
+    quarantine: FleetQuarantine | None = None,
 ) -> Application:
-    """Creates the ASGI application for announcements, changes of the store, and quotas.
+    """Creates the ASGI application for what gateways ask and tell each other.
 
     Args:
         neighbours: Receives the announcements.
         change_log: Changes of the store that this host has applied.
         quotas: Answers about quotas; None for no answers.
+        quarantine: Takes losses of leaves under requests; None to take none.
     """
 
     async def answer(path: str, query: dict[str, str]) -> object:
@@ -58,6 +73,9 @@
         if path in (QUOTA_PATH, DEMAND_PATH) and scope["method"] == "POST" and quotas is not None:
             await _answer_about_quotas(quotas, path, receive, send)
             return
+        if path == NOTICE_PATH and scope["method"] == "POST" and quarantine is not None:
+            await _take_notice(quarantine, receive, send)
+            return
         if path not in (HOSTS_PATH, CHANGES_PATH):
             await respond(send, 404, b'{"title": "not found"}\n', _PROBLEM_TYPE)
             return
@@ -94,6 +112,20 @@
     await respond(send, 200, compress(msgspec.json.encode(reply)), "application/zlib")
 
 
+async def _take_notice(quarantine: FleetQuarantine, receive: Receive, send: Send) -> None:
+    """Takes a message about requests that crash leaves."""
+    try:
+        body = await read_request_body(receive, max_bytes=_MAX_NOTICE_BYTES)
+        quarantine.on_notice(_NOTICE_DECODER.decode(body))
+    except ClientDisconnectedError:
+        return
+    except (RequestTooLargeError, ValueError) as error:
+        detail = msgspec.json.encode({"title": f"unusable message: {error!r}"})
+        await respond(send, 400, detail, _PROBLEM_TYPE)
+        return
+    await respond(send, 200, b"{}", "application/json")
+
+
 def _count(text: str) -> int:
     count = parse_count(text.encode())
     if count is None:
--- a/filbertreach/gateway/_neighbours.py
+++ b/filbertreach/gateway/_neighbours.py
@@ -230,6 +230,23 @@
         """Returns the names of the live hosts of this data centre, this one included."""
         return [host["name"] for host in self._local_hosts(self._clock.now())]
 
+    def local_addresses(self) -> list[str]:
+        """Returns the addresses of the other live hosts of this data centre."""
+        own = self._own["name"]
+        local = self._local_hosts(self._clock.now())
+        return [host["address"] for host in local if host["name"] != own]
+
+    def seed_addresses(self) -> list[str]:
+        """Returns the addresses of the seeds besides this host."""
+        return list(self._seeds)
+
+    def address_by_data_centre(self) -> dict[str, str]:
+        """Returns the address of one known host, drawn at random, of each other data centre."""
+        hosts = self._live_hosts(self._clock.now())
+        random.shuffle(hosts)
+        own = self._own["data_centre"]
+        return {h["data_centre"]: h["address"] for h in hosts if h["data_centre"] != own}
+
     def is_seed_heard(self) -> bool:
         """Returns whether a seed has answered, or there is none besides this host."""
         return bool(self._reply_by_seed) or not self._seeds
--- a/filbertreach/gateway/_policy.py
+++ b/filbertreach/gateway/_policy.py
@@ -17,6 +17,8 @@
     spill_over: CrossingCosts | None = None
     """Costs by which load decides how much is sent to other data centres; None to prefer the near
     leaves by fixed penalties."""
+    quarantine: bool = False
+    """Whether requests that crash leaves are stopped and refused."""
 
 
 def load_policy(path: str) -> Result[GatewayPolicy, SettingsError]:
@@ -41,4 +43,5 @@
         )
         if spill_over["enabled"]
         else None,
+        quarantine=values["quarantine"]["enabled"],
     )
--- a/filbertreach/gateway/_process.py
+++ b/filbertreach/gateway/_process.py
@@ -27,7 +27,9 @@
 )
 from filbertreach.gateway._neighbours import Neighbours
 from filbertreach.gateway._policy import GatewayPolicy
+from filbertreach.gateway._quarantine_gate import QuarantineGate
 from filbertreach.gateway._query import Query, QueryResult
+from filbertreach.gateway._quota_refusal import refuse_quota
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
 from filbertreach.observability import Health, get_logger
 from filbertreach.platform import (
@@ -39,6 +41,7 @@
     attach_account,
     refuse,
 )
+from filbertreach.quarantine import FleetQuarantine, RequestGuard
 from filbertreach.quotas import FleetQuotas, QuotaBounds, QuotaDecision
 from filbertreach.timing import TimerService
 
@@ -54,6 +57,8 @@
 _NOT_READY_RETRY_SECONDS = 0.5
 _OUTCOMES_NOT_RUN = frozenset({"not_run", "limited", "overloaded"})
 """Outcomes of queries that no leaf has run."""
+_OUTCOMES_OF_ALL_CALLS = frozenset({"overloaded", "leaves_lost"})
+"""Outcomes that end all calls of a query for the same reason."""
 
 _LOGGER = get_logger(__name__)
 
@@ -114,6 +119,7 @@
             on_change=self._update_health,
             admission=self._policy.admission,
             spill_over=self._policy.spill_over,
+            on_idle_closed=lambda handle: self._gate.on_idle_closed(handle),
         )
         self.change_log = ChangeLog(clock=self._clock)
         """Changes of the store that this host has applied, for its neighbours."""
@@ -127,6 +133,12 @@
                 seeds=settings.seed_addresses,
                 clock=self._clock,
             )
+        self._gate = QuarantineGate(
+            enabled=self._policy.quarantine,
+            settings=settings,
+            neighbours=self.neighbours,
+            clock=self._clock,
+        )
         self.quotas = FleetQuotas(
             host=settings.host,
             data_centre=settings.data_centre,
@@ -155,6 +167,8 @@
         await self._stack.enter_async_context(self._store)
         self._group = await self._stack.enter_async_context(anyio.create_task_group())
         await self._stack.enter_async_context(self.quotas)
+        if self._gate.quarantine is not None:
+            await self._stack.enter_async_context(self._gate.quarantine)
         follower = StoreFollower(
             store=self._store,
             clock=self._clock,
@@ -188,6 +202,11 @@
         self._group.cancel_scope.cancel()
         return await self._stack.__aexit__(kind, error, trace)
 
+    @property
+    def quarantine(self) -> FleetQuarantine | None:
+        """Requests that crash leaves; None if their quarantine is not enabled."""
+        return self._gate.quarantine
+
     @property
     def max_body_bytes(self) -> int:
         """Largest accepted request body, in bytes."""
@@ -229,7 +248,12 @@
         access = await self._check_access(request, route, table)
         if isinstance(access, CallerAnswer):
             return access
-        query = self._make_query(access, arrived_at, is_first_on_connection)
+        guard = self._gate.admit(access.request, access.route, access.account, table.version)
+        if isinstance(guard, CallerAnswer):
+            if access.decision is not None:
+                self.quotas.release(access.decision)
+            return guard
+        query = self._make_query(access, arrived_at, is_first_on_connection, guard)
         result = await self._run_query(query, access.decision, arrived_at, table.version)
         seconds = self._clock.now() - arrived_at
         self._record_metrics(query, result, seconds)
@@ -265,11 +289,15 @@
         if account.quota is not None:
             decision = await self.quotas.acquire(account.name)
             if not decision.is_granted:
-                return _refuse_quota(decision, request, route, account, table.version)
+                return refuse_quota(decision, request, route, account, table.version)
         return _Access(request, route, account, decision)
 
     def _make_query(
-        self, access: _Access, arrived_at: float, is_first_on_connection: bool
+        self,
+        access: _Access,
+        arrived_at: float,
+        is_first_on_connection: bool,
+        guard: RequestGuard | None,
     ) -> Query:
         route = access.route
         statistics = self.directory.statistics(route)
@@ -284,6 +312,7 @@
             reserve=self._reserve,
             window=statistics.window(route.priority) if self._policy.admission else None,
             is_first_on_connection=is_first_on_connection,
+            guard=guard,
         )
 
     async def _run_query(
@@ -312,6 +341,7 @@
             raise
         finally:
             self._in_progress -= 1
+            self._gate.release(query.guard)
         if decision is not None and result.outcome in _OUTCOMES_NOT_RUN:
             self.quotas.release(decision)
         return result
@@ -354,8 +384,8 @@
                 }
                 for call in result.calls
                 if call.fault_reasons or call.extra_attempts or (call.answer is None and call.done)
-                # The calls of a query that admission refused all have the same entry.
-                if call.tried_leaf_ids or result.outcome != "overloaded"
+                # Calls that were not sent for a reason of the whole query have the same entry.
+                if call.tried_leaf_ids or result.outcome not in _OUTCOMES_OF_ALL_CALLS
             ],
         )
 
@@ -394,6 +424,7 @@
         if pause:
             _LOGGER.warning("process was paused", seconds=round(pause, 3))
         self.directory.remove_expired(self._clock.now())
+        self._gate.remove_expired()
         host_count = self.neighbours.fleet_size() if self.neighbours is not None else None
         if host_count is not None:
             FLEET_SIZE.set(host_count)
@@ -415,25 +446,3 @@
         slack=bounds.quota_slack,
         data_centres=max(1, len(settings.region_by_data_centre)),
     )
-
-
-def _refuse_quota(
-    decision: QuotaDecision,
-    request: CallerRequest,
-    route: Route,
-    account: ClientAccount,
-    version: int,
-) -> CallerAnswer:
-    """Logs and creates the refusal of a request that its quota does not allow now."""
-    status = 429 if decision.outcome == "over_quota" else 503
-    _LOGGER.info(
-        "refused",
-        request=request.id,
-        status=status,
-        reason=decision.outcome,
-        account=account.name,
-        route=route.name,
-        version=version,
-    )
-    reason = "the quota of the account is used up" if status == 429 else "the quota is not known"
-    return refuse(status, reason, retry_after_seconds=decision.retry_after_seconds)
--- a/filbertreach/gateway/_query.py
+++ b/filbertreach/gateway/_query.py
@@ -38,6 +38,7 @@
     merge_answers,
     refuse,
 )
+from filbertreach.quarantine import STOPPED_REQUESTS, RequestGuard
 from filbertreach.timing import Clock
 
 _DEADLINE_RESERVE_SECONDS = 0.02
@@ -49,6 +50,9 @@
 """Time after which a query that found no room among those of its route tries again."""
 _SENDS_PER_YIELD = 10
 """Number of calls that are sent before control is given to other tasks."""
+_MAX_HOLD_SHARE = 0.5
+"""Part of the time until the target for which calls are held until one of the first shards has
+answered, on a route under which leaves have ended lately."""
 _MIN_RETRY_SECONDS = 0.05
 """Shortest time after which a caller should repeat a request that no leaf ran."""
 
@@ -59,7 +63,7 @@
     answer: CallerAnswer
     """Answer to the caller."""
     outcome: str
-    """answered, partial, leaf_answer, not_run, limited, overloaded, timeout or failed."""
+    """answered, partial, leaf_answer, not_run, limited, overloaded, timeout, leaves_lost or failed."""
     included: int
     """Number of shards included in the answer."""
     calls: tuple[ServiceCall, ...]
@@ -85,6 +89,7 @@
         reserve: CallerReserve | None = None,
         window: AdmissionWindow | None = None,
         is_first_on_connection: bool = False,
+        guard: RequestGuard | None = None,
     ) -> None:
         """Creates the calls; `run` sends them.
 
@@ -100,12 +105,15 @@
                 a constant one.
             window: Limit on the requests of the route in progress; None to admit all.
             is_first_on_connection: Whether the caller opened the connection for the request.
+            guard: Decides what is sent after leaves were lost under the request; None to send all.
         """
         wait_seconds = route.timeout_seconds
         if request.remaining_seconds is not None:
             wait_seconds = min(wait_seconds, request.remaining_seconds)
         self.route = route
         self.request = request
+        self.guard = guard
+        """Decides what is sent after leaves were lost under the request."""
         self.deadline_at = arrived_at + max(0.0, wait_seconds - _DEADLINE_RESERVE_SECONDS)
         """Clock at which the answer is sent at the latest, in seconds."""
         self._clock = clock
@@ -135,6 +143,7 @@
             on_change=self._on_change,
             reserve=reserve,
             window=window,
+            guard=guard,
         )
         self.calls = tuple(ServiceCall(pool=pool, context=context) for pool in pools)
         self._wait = ObjectiveWait(
@@ -157,6 +166,14 @@
         """Heap of the clocks at which calls are to be advanced; entries may be out of date."""
         self._tie_breaker = itertools.count()
         self._wakeup = anyio.Event()
+        self._first_calls = self.calls
+        """Calls that are sent at once."""
+        self._held_calls: list[ServiceCall] = []
+        """Calls that are sent once one of the first shards has answered."""
+        self._hold_ends_at = math.inf
+        """Clock at which they are sent without an answer, in seconds."""
+        if guard is not None:
+            guard.on_change = self._on_guard_change
 
     async def run(self) -> QueryResult:
         """Sends the calls and waits until the wait policy ends the query.
@@ -176,13 +193,7 @@
         if refusal is not None:
             return refusal
         self._expect_parts(len(self.calls))
-        for number, call in enumerate(self.calls, start=1):
-            now = self._clock.now()
-            call.pool.budget.count_request(now)
-            self._advance(call, now)
-            if number % _SENDS_PER_YIELD == 0:
-                # Lets answers to the first calls be processed.
-                await anyio.sleep(0)
+        await self._send_calls(self._hold_calls())
         while True:
             now = self._clock.now()
             # Only changed calls are advanced: advancing all calls at each answer took a quarter of
@@ -194,11 +205,62 @@
             if self._reserve is not None:
                 self._target_at = self._compute_target(now)
                 self._wait.move_target(self._target_at)
-            if self._wait.stop_waiting(now):
+            if self._is_stopped() or self._wait.stop_waiting(now):
                 return self._build_result()
+            if self._held_calls and self._may_send_held(now):
+                held, self._held_calls = self._held_calls, []
+                await self._send_calls(held)
+                continue
             if not self._changed_calls:
                 await self._wait_for_event(now)
 
+    async def _send_calls(self, calls: list[ServiceCall]) -> None:
+        for number, call in enumerate(calls, start=1):
+            if self._is_stopped():
+                return
+            now = self._clock.now()
+            call.pool.budget.count_request(now)
+            self._advance(call, now)
+            if number % _SENDS_PER_YIELD == 0:
+                # Lets answers to the first calls be processed.
+                await anyio.sleep(0)
+
+    def _hold_calls(self) -> list[ServiceCall]:
+        """Holds the calls that wait for an answer to others; returns those that are sent now."""
+        first = None if self.guard is None else self.guard.first_shards
+        if first is None:
+            return list(self.calls)
+        now = self._clock.now()
+        self._hold_ends_at = now + _MAX_HOLD_SHARE * (self._target_at - now)
+        self._held_calls = [call for n, call in enumerate(self.calls) if n not in first]
+        self._first_calls = tuple(self.calls[number] for number in first)
+        return list(self._first_calls)
+
+    def _may_send_held(self, now: float) -> bool:
+        guard = self.guard
+        if guard is None or not guard.may_send():
+            return False
+        if guard.is_answered:
+            return True
+        return not guard.is_trial and (now >= self._hold_ends_at or self._are_first_done())
+
+    def _are_first_done(self) -> bool:
+        return all(call.done for call in self._first_calls)
+
+    def _is_stopped(self) -> bool:
+        """Returns whether the query ends because of leaves lost under requests with its content."""
+        guard = self.guard
+        if guard is None:
+            return False
+        if guard.is_stopped():
+            return True
+        # A trial whose first shard has not answered is not sent to the others.
+        has_failed = guard.is_trial and not guard.is_answered and bool(self._held_calls)
+        return has_failed and self._are_first_done()
+
+    def _on_guard_change(self) -> None:
+        self._wakeup.set()
+
     def _refuse_if_unavailable(self, now: float) -> QueryResult | None:
         """Refuses a query for which too few shards have a leaf that may be called.
 
@@ -346,6 +408,9 @@
         waited_seconds = max(call.waited_seconds for call in self.calls)
         if waited_seconds:
             fields["waited_ms"] = round(waited_seconds * 1000, 1)
+        if self.guard is not None and self.guard.losses.ended:
+            fields["leaves_lost"] = sorted(leaf for leaf, _ in self.guard.losses.ended)
+            fields["fingerprint"] = self.guard.fingerprint.hex()
         if self._refused_because:
             fields["refused_because"] = self._refused_because
             fields["expected_wait_ms"] = round(self._expected_wait_seconds * 1000, 1)
@@ -402,6 +467,8 @@
         check_at = self._wait.next_check(now) or now
         if self._due_calls:
             check_at = min(check_at, self._due_calls[0][0])
+        if self._held_calls and self._hold_ends_at > now:
+            check_at = min(check_at, self._hold_ends_at)
         if check_at > now:
             with anyio.move_on_after(check_at - now):
                 await self._wakeup.wait()
@@ -412,7 +479,10 @@
             if call.state is CallState.ANSWERED:
                 self._count_end(call, now)
         # Without enough shards, what still runs is of no use.
-        self.stop(cancel=self._admission and not self._wait.covered)
+        is_stopped = self._is_stopped()
+        if is_stopped:
+            STOPPED_REQUESTS.inc()
+        self.stop(cancel=is_stopped or (self._admission and not self._wait.covered))
         answers = [call.answer for call in self.calls if call.state is CallState.ANSWERED]
         usable = [answer for answer in answers if answer is not None]
         if not self.route.shards:
@@ -437,6 +507,9 @@
         now = self._clock.now()
         if all(call.state is CallState.NOT_RUN for call in self.calls):
             return self._build_not_run(included, now)
+        if self._is_stopped():
+            answer = refuse(502, "leaves have ended while they ran the request")
+            return QueryResult(answer, "leaves_lost", included, self.calls)
         if now >= self.deadline_at:
             return QueryResult(refuse(504, "no answer in time"), "timeout", included, self.calls)
         answer = refuse(502, "the leaves did not answer")
--- a/filbertreach/gateway/_service_call.py
+++ b/filbertreach/gateway/_service_call.py
@@ -30,6 +30,7 @@
 from filbertreach.gateway._route_latencies import RouteLatencies
 from filbertreach.gateway._service_pool import ServicePool
 from filbertreach.platform import CallerRequest, LeafAnswer, encode_leaf_request
+from filbertreach.quarantine import RequestGuard
 from filbertreach.timing import Clock
 
 REASON_NO_PLACE = "no place in time"
@@ -92,6 +93,8 @@
     """Gets the load that leaves report; None if it is not used."""
     arrived_at: float = 0.0
     """Clock when the request arrived, in seconds; orders the calls that wait for a leaf."""
+    guard: RequestGuard | None = None
+    """Decides whether calls may be sent after leaves were lost; None to send all."""
 
 
 class _Attempt(NamedTuple):
@@ -162,6 +165,10 @@
         """
         if self.done or now < self.next_action_at:
             return
+        guard = self._context.guard
+        if guard is not None and not guard.may_send():
+            self.next_action_at = now + _CHOICE_RETRY_SECONDS
+            return
         if self._waiting is not None and self._waiting.is_displaced:
             self.refuse(REASON_DISPLACED)
         elif not self._attempt_by_exchange:
@@ -424,17 +431,13 @@
         _CALLS[kind].inc()
         handle.request_limit.count_call(kind, now)
         context = self._context
-        clock = context.clock
         exchange = Exchange(
             request_id=context.request.id,
             method=context.request.method,
             encode=lambda: self._encode(handle),
             on_result=self._on_result,
             started_at=now,
-            may_send=lambda: (
-                handle.retry_hold.returns_at <= clock.now() < handle.usable_until
-                and self.pool.is_permitted(handle, context.route.home_regions)
-            ),
+            may_send=lambda: self._may_write(handle, exchange),
         )
         self.tried_leaf_ids.append(handle.leaf.id)
         self._first_sent_at = min(self._first_sent_at, now)
@@ -447,6 +450,34 @@
         if not exchange.is_complete:
             self._attempt_by_exchange[exchange] = _Attempt(handle, exchange, connection)
 
+    def _may_write(self, handle: LeafHandle, exchange: Exchange) -> bool:
+        """Returns whether a request may be written now; it may have waited for its connection."""
+        context = self._context
+        now = context.clock.now()
+        if not handle.retry_hold.returns_at <= now < handle.usable_until:
+            return False
+        if not self.pool.is_permitted(handle, context.route.home_regions):
+            return False
+        if context.guard is not None:
+            if not context.guard.may_send():
+                # The leaf is not to blame that it gets nothing.
+                exchange.abandoned = True
+                return False
+            context.guard.on_sent()
+        return True
+
+    def _tell_guard(
+        self, guard: RequestGuard, attempt: "_Attempt", result: LeafAnswer | LeafFault
+    ) -> None:
+        """Tells the guard of the request what became of a call that was sent."""
+        if isinstance(result, LeafAnswer):
+            if not result.not_run:
+                guard.on_answered()
+        elif result.sent and not attempt.exchange.abandoned:
+            if result.kind is FaultKind.CONNECTION_LOST:
+                guard.on_connection_lost(attempt.handle.entry.process, attempt.handle.leaf.address)
+            guard.on_failed()
+
     def _encode(self, handle: LeafHandle) -> bytes:
         context = self._context
         now = context.clock.now()
@@ -463,6 +494,8 @@
 
     def _on_result(self, exchange: Exchange, result: LeafAnswer | LeafFault) -> None:
         attempt = self._attempt_by_exchange.pop(exchange, None)
+        if attempt is not None and self._context.guard is not None:
+            self._tell_guard(self._context.guard, attempt, result)
         handle = attempt.handle if attempt else self.pool.handle_by_id.get(self.tried_leaf_ids[-1])
         now = self._context.clock.now()
         if isinstance(result, LeafFault):
--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -67,6 +67,7 @@
         admission: bool = False,
         spill_over: SpillPolicy | None = None,
         spill_over_log: SpillOverLog | None = None,
+        on_idle_closed: Callable[[LeafHandle], None] | None = None,
     ) -> None:
         """Creates a pool without leaves.
 
@@ -83,6 +84,7 @@
             spill_over: Decides what is sent to other data centres; None to prefer near leaves by
                 fixed penalties.
             spill_over_log: Counts the calls sent out; None to count none.
+            on_idle_closed: Called when a leaf has closed a connection without a request.
         """
         self.service = service
         self.admission = ServiceAdmission() if admission else None
@@ -101,6 +103,7 @@
         self._chooser: ReplicaPolicy = make_replica_policy(name="least_expected_wait")
         self._spill_over = spill_over
         self._spill_over_log = spill_over_log
+        self._on_idle_closed = on_idle_closed
         self._sent_out_reason: SpillReason | None = None
         """Why the leaf that was chosen last is in another data centre."""
         self._connections = _DEFAULT_CONNECTIONS
@@ -171,6 +174,7 @@
                 hosts=self._host_count,
                 schedule=self._schedule,
                 clock=self._clock,
+                on_idle_closed=self._on_idle_closed,
             )
             handle.request_limit.cold_per_second = self._cold_per_second
             handle.retry_hold = self._hold_by_process.get(entry.process, handle.retry_hold)
--- a/filbertreach/gateway/tests/test_endless_leaves.py
+++ b/filbertreach/gateway/tests/test_endless_leaves.py
@@ -23,6 +23,9 @@
     def on_idle(self, connection: LeafConnection) -> None:
         pass
 
+    def on_idle_closed(self) -> None:
+        pass
+
     def on_unusable(self, connection: LeafConnection) -> None:
         pass
 
--- a/filbertreach/gateway/tests/test_leaf_connection.py
+++ b/filbertreach/gateway/tests/test_leaf_connection.py
@@ -40,6 +40,9 @@
     def on_idle(self, connection: LeafConnection) -> None:
         self.idle.append(connection)
 
+    def on_idle_closed(self) -> None:
+        pass
+
     def on_unusable(self, connection: LeafConnection) -> None:
         if connection in self.idle:
             self.idle.remove(connection)
