--- a/filbertreach_standins/deployment/__main__.py
+++ b/filbertreach_standins/deployment/__main__.py
@@ -18,12 +18,13 @@
     parser.add_argument(
         "--leaves", type=int, default=2, help="number of leaves, named leaf-0, leaf-1 and so on"
     )
+    parser.add_argument("--first", type=int, default=0, help="number of the first leaf")
     parser.add_argument("--seed", type=int, default=0)
     arguments = parser.parse_args()
     listeners: list[tuple[str, str, StandIn]] = [
         ("127.0.0.1:0", "store", DeploymentStoreService(seed=arguments.seed))
     ]
-    for number in range(arguments.leaves):
+    for number in range(arguments.first, arguments.first + arguments.leaves):
         name = f"leaf-{number}"
         leaf = DeploymentLeaf(leaf_id=name, seed=arguments.seed + number)
         listeners.append(("127.0.0.1:0", name, leaf))
--- a/filbertreach_standins/deployment/_leaf.py
+++ b/filbertreach_standins/deployment/_leaf.py
@@ -1,5 +1,6 @@
 """Stand-in for a leaf of a deployment."""
 
+import os
 import random
 from typing import Any
 
@@ -28,6 +29,12 @@
         "seconds that a 503 names, with which each request is refused; 0: none is refused",
     ),
     Fault("hang", False, one_of(False, True), "true: requests are never answered"),
+    Fault(
+        "crash_on",
+        "",
+        str,
+        "text in the path with which a request ends the process at once; empty: none does",
+    ),
     Fault(
         "endless",
         False,
@@ -36,6 +43,7 @@
     ),
 )
 """Faults in addition to `CONNECTION_FAULTS`."""
+_CRASH_EXIT_CODE = 70
 _WRITTEN_BYTES = 16_384
 _MAX_UNSENT_BYTES = 1_000_000
 
@@ -93,6 +101,9 @@
             await send_json(send, 421, {}, [(b"x-not-executed", b"1")])
             return
         request_id = headers.get(b"x-request-id", b"")
+        if (marker := self.faults.value("crash_on")) and marker in scope["path"]:
+            # As after a crash, all connections are reset and new ones are refused.
+            os._exit(_CRASH_EXIT_CODE)
         if seconds := self.faults.value("retry_after"):
             self._refused_count += 1
             refusal = [
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -34,6 +34,7 @@
     # Guards against gateways that end at their start.
     policy = load_policy(str(_ROOT / "deploy/gateway.ini")).unwrap()
     assert policy.spill_over is not None
+    assert policy.quarantine
 
 
 def test_the_gateway_starts_with_its_declared_dependencies_alone() -> None:
