--- a/filbertreach/gateway/_query.py
+++ b/filbertreach/gateway/_query.py
@@ -63,7 +63,8 @@
     answer: CallerAnswer
     """Answer to the caller."""
     outcome: str
-    """answered, partial, leaf_answer, not_run, limited, overloaded, timeout, leaves_lost or failed."""
+    """answered, partial, leaf_answer, not_run, limited, overloaded, timeout, leaves_lost or
+    failed."""
     included: int
     """Number of shards included in the answer."""
     calls: tuple[ServiceCall, ...]
--- a/filbertreach/quarantine/_fleet_quarantine.py
+++ b/filbertreach/quarantine/_fleet_quarantine.py
@@ -236,13 +236,17 @@
             self._pass_on(notice, self._hosts)
 
     def _pass_on(self, notice: QuarantineNotice, hosts: HostAddresses) -> None:
-        if notice["spread"] == "all":
+        spread = notice["spread"]
+        passed = notice.copy()
+        if spread == "all":
             others = hosts.address_by_data_centre()
             others.pop(notice["data_centre"], None)
-            self._send({**notice, "spread": "data_centre"}, list(others.values()))
+            passed["spread"] = "data_centre"
+            self._send(passed, list(others.values()))
         # The host that has seen the losses tells the hosts of its own data centre itself.
-        if notice["spread"] != "none" and notice["data_centre"] != self._data_centre:
-            self._send({**notice, "spread": "none"}, hosts.local_addresses())
+        if spread != "none" and notice["data_centre"] != self._data_centre:
+            passed["spread"] = "none"
+            self._send(passed, hosts.local_addresses())
 
     def _send(self, notice: QuarantineNotice, addresses: list[str]) -> None:
         self._sender.send(notice, addresses)
--- a/filbertreach/quarantine/_leaf_checks.py
+++ b/filbertreach/quarantine/_leaf_checks.py
@@ -49,9 +49,7 @@
         self._waiting_by_process: dict[LeafProcess, list[Callable[[bool], None]]] = {}
         self._ended_at_by_process: dict[LeafProcess, float] = {}
 
-    def check(
-        self, process: LeafProcess, address: str, on_checked: Callable[[bool], None]
-    ) -> None:
+    def check(self, process: LeafProcess, address: str, on_checked: Callable[[bool], None]) -> None:
         """Starts a check, unless one of the same leaf is running; see `LeafCheck`.
 
         Args:
--- a/filbertreach/quarantine/_loss_rates.py
+++ b/filbertreach/quarantine/_loss_rates.py
@@ -70,6 +70,15 @@
         """
         self._losses.append(_Loss(now + seconds, process))
 
+    def count_losses(self, *, explained: Collection[LeafProcess], now: float) -> int:
+        """Returns the number of losses that count now.
+
+        Args:
+            explained: Leaves whose losses don't count.
+            now: Current clock, in seconds.
+        """
+        return sum(loss.until > now and loss.process not in explained for loss in self._losses)
+
     def is_excessive(
         self, losses: int, attempts: int, *, explained: Collection[LeafProcess], now: float
     ) -> bool:
@@ -83,9 +92,7 @@
             now: Current clock, in seconds.
         """
         self._remove_expired(now)
-        general = sum(
-            loss.until > now and loss.process not in explained for loss in self._losses
-        )
+        general = self.count_losses(explained=explained, now=now)
         calls = max(0, sum(second.calls for second in self._seconds) - attempts)
         requests = sum(second.requests for second in self._seconds)
         rate = (general + _ASSUMED_LOSSES) / (calls + general + _ASSUMED_CALLS)
--- a/filbertreach/quarantine/_notices.py
+++ b/filbertreach/quarantine/_notices.py
@@ -9,7 +9,7 @@
     MAX_LEAVES,
     QuarantineEvidence,
 )
-from filbertreach.schema import QuarantineEntry, QuarantineNotice, QuarantinedLeaf
+from filbertreach.schema import QuarantinedLeaf, QuarantineEntry, QuarantineNotice
 
 MAX_ENTRIES_PER_SECOND = 50
 """Entries that a host sends per second, and largest number in one message."""
@@ -56,7 +56,9 @@
             QuarantineEntry(
                 fingerprint=evidence.fingerprint.hex(),
                 route=route,
-                leaves=[QuarantinedLeaf(leaf=leaf, started_at_ms=at) for leaf, at in evidence.leaves],
+                leaves=[
+                    QuarantinedLeaf(leaf=leaf, started_at_ms=at) for leaf, at in evidence.leaves
+                ],
                 attempts=evidence.attempts,
                 quarantined=evidence.is_quarantined,
                 age_seconds=evidence.age_seconds,
--- a/filbertreach/quarantine/_request_guard.py
+++ b/filbertreach/quarantine/_request_guard.py
@@ -42,7 +42,13 @@
     """Decides what is sent for one request; shared by its calls to all shards."""
 
     def __init__(
-        self, *, fingerprint: bytes, route: str, shards: int, verdict: Verdict, context: GuardContext
+        self,
+        *,
+        fingerprint: bytes,
+        route: str,
+        shards: int,
+        verdict: Verdict,
+        context: GuardContext,
     ) -> None:
         """Creates the guard of a request for which nothing was sent.
 
@@ -86,7 +92,7 @@
         return self._is_answered
 
     def is_stopped(self) -> bool:
-        """Returns whether nothing more is sent for the request and its calls are to be cancelled."""
+        """Returns whether the request ends: nothing more is sent, and its calls are cancelled."""
         if self.losses.is_exhausted or (self._has_failed and not self._is_answered):
             return True
         quarantine, now = self._context.quarantine, self._context.now()
--- a/filbertreach/quarantine/_request_quarantine.py
+++ b/filbertreach/quarantine/_request_quarantine.py
@@ -6,9 +6,12 @@
 from collections.abc import Callable
 from typing import Literal, NamedTuple
 
+from filbertreach.observability import get_logger
 from filbertreach.quarantine._loss_count import MAX_LOSSES, LeafProcess
 from filbertreach.quarantine._loss_rates import LossRates
 
+_LOGGER = get_logger(__name__)
+
 ENTRY_SECONDS = 30.0
 """Time after the last loss at which a fingerprint is tried again."""
 MAX_ENTRIES = 1_000
@@ -24,8 +27,11 @@
 fingerprint is blamed. Leaves that end for another reason end together."""
 _CHECK_AGAIN_SECONDS = 0.01
 """Time after which a fingerprint that is not to blame is checked again."""
+_REVIEW_SECONDS = 2.0
+"""Time after the last loss within which it is decided who is to blame. What is known of other
+losses then is compared; later it is forgotten."""
 _ELSEWHERE_SECONDS = 1.0
-"""Time for which the end of a leaf that this host had no request at counts as a sign that leaves end
+"""Time for which the end of a leaf without a request of this host counts as a sign that leaves end
 by themselves. It is short because requests of other hosts may have ended the leaf."""
 _TRIAL_SECONDS = 3.0
 """Longest time for which a trial keeps others from starting; its result may never be known."""
@@ -87,7 +93,8 @@
 
     @property
     def leaves(self) -> frozenset[LeafProcess]:
-        return frozenset().union(*(e.leaves for e in self.evidence_by_source.values()))
+        evidence = self.evidence_by_source.values()
+        return frozenset(process for one in evidence for process in one.leaves)
 
     @property
     def attempts(self) -> int:
@@ -181,7 +188,7 @@
             attempts: Calls sent for the request so far.
             now: Current clock, in seconds.
         """
-        entry = self._entry(fingerprint, now)
+        entry = self._entry(fingerprint)
         if entry.answers:
             # Other leaves have run the request, so this one may have ended by itself.
             self._rates.record_loss(process, now)
@@ -231,7 +238,7 @@
         """
         if evidence.age_seconds >= ENTRY_SECONDS:
             return False
-        entry = self._entry(evidence.fingerprint, now)
+        entry = self._entry(evidence.fingerprint)
         at = now - evidence.age_seconds
         known = entry.evidence_by_source.get(source)
         leaves = frozenset(evidence.leaves)
@@ -244,10 +251,14 @@
         if entry.last_loss_at < now - ENTRY_SECONDS or not entry.evidence_by_source:
             entry.trial_delay_seconds = self._trial_delay(evidence.fingerprint)
         entry.add(source, leaves, evidence.attempts, at)
-        if evidence.is_quarantined and not entry.is_quarantined and len(entry.leaves) >= MAX_LOSSES:
-            self._put(evidence.fingerprint, entry, source)
-        elif entry.is_quarantined:
+        if entry.is_quarantined:
             self._blamed |= leaves
+        elif (
+            evidence.is_quarantined
+            and len(entry.leaves) >= MAX_LOSSES
+            and not self._is_doubtful(entry, now)
+        ):
+            self._put(evidence.fingerprint, entry, source)
         return is_new
 
     # Decisions.
@@ -265,6 +276,7 @@
         if entry is None:
             return Verdict("allow")
         self.check(fingerprint, now)
+        self._review(fingerprint, entry, now)
         if not entry.is_quarantined:
             wait_seconds = entry.held_until - now
             return Verdict("refuse", wait_seconds) if wait_seconds > 0.0 else Verdict("allow")
@@ -312,12 +324,10 @@
         entry = self._entry_by_fingerprint.get(fingerprint)
         if entry is None or entry.is_quarantined:
             return False
-        if now < entry.check_at:
+        if not entry.check_at <= now < entry.last_loss_at + _REVIEW_SECONDS:
             return False
         entry.check_at = now + _CHECK_AGAIN_SECONDS
-        if not self._rates.is_excessive(
-            len(entry.leaves), entry.attempts, explained=self._blamed | entry.leaves, now=now
-        ):
+        if not self._is_excessive(entry, now):
             return False
         self._put(fingerprint, entry, "")
         return True
@@ -342,7 +352,7 @@
         )
 
     def remove_expired(self, now: float) -> None:
-        """Removes entries that nothing was lost under for long.
+        """Reviews recent entries, and removes those that nothing was lost under for long.
 
         Args:
             now: Current clock, in seconds.
@@ -352,18 +362,43 @@
             factor = 10.0 if entry.is_quarantined else 1.0
             if now - entry.last_loss_at > factor * ENTRY_SECONDS:
                 self._remove(fingerprint)
+            else:
+                self._review(fingerprint, entry, now)
 
     def _is_in_force(self, entry: _Entry, now: float) -> bool:
         return entry.is_quarantined and now < entry.last_loss_at + ENTRY_SECONDS
 
-    def _entry(self, fingerprint: bytes, now: float) -> _Entry:
+    def _is_excessive(self, entry: _Entry, now: float) -> bool:
+        explained = self._blamed | entry.leaves
+        return self._rates.is_excessive(
+            len(entry.leaves), entry.attempts, explained=explained, now=now
+        )
+
+    def _is_doubtful(self, entry: _Entry, now: float) -> bool:
+        """Returns whether this host sees other leaves end, often enough to explain two losses."""
+        if len(entry.leaves) > MAX_LOSSES:
+            return False
+        general = self._rates.count_losses(explained=self._blamed | entry.leaves, now=now)
+        return general > 0 and not self._is_excessive(entry, now)
+
+    def _review(self, fingerprint: bytes, entry: _Entry, now: float) -> None:
+        """Ends a quarantine that rests on two losses if more leaves end for another reason.
+
+        When leaves begin to end, the first content that loses two may be the first sign of it.
+        """
+        if not entry.is_quarantined or now >= entry.last_loss_at + _REVIEW_SECONDS:
+            return
+        if entry.trial_at == -math.inf and self._is_doubtful(entry, now):
+            entry.is_quarantined = False
+            self._update_blamed()
+            _LOGGER.info("request no longer quarantined", fingerprint=fingerprint.hex())
+
+    def _entry(self, fingerprint: bytes) -> _Entry:
         entry = self._entry_by_fingerprint.get(fingerprint)
-        own = entry.evidence_by_source.get("") if entry is not None else None
-        if entry is None or own is None or not own.leaves:
+        if entry is None:
             if len(self._entry_by_fingerprint) >= MAX_ENTRIES:
                 self._make_room()
             entry = self._entry_by_fingerprint[fingerprint] = _Entry()
-            entry.last_loss_at = now
         self._entry_by_fingerprint.move_to_end(fingerprint)
         return entry
 
@@ -385,10 +420,13 @@
     def _remove(self, fingerprint: bytes) -> None:
         entry = self._entry_by_fingerprint.pop(fingerprint)
         if entry.is_quarantined:
-            self._blamed = set()
-            for other in self._entry_by_fingerprint.values():
-                if other.is_quarantined:
-                    self._blamed |= other.leaves
+            self._update_blamed()
+
+    def _update_blamed(self) -> None:
+        self._blamed = set()
+        for entry in self._entry_by_fingerprint.values():
+            if entry.is_quarantined:
+                self._blamed |= entry.leaves
 
     def _trial_delay(self, fingerprint: bytes) -> float:
         digest = hashlib.blake2b(self._host.encode() + fingerprint, digest_size=4).digest()
--- a/filbertreach/schema/_generated_messages.py
+++ b/filbertreach/schema/_generated_messages.py
@@ -744,6 +744,75 @@
     """
 
 
+class QuarantinedLeaf(TypedDict):
+    """
+    A leaf that has ended while it ran a request.
+    """
+
+    leaf: str
+    """
+    Leaf id.
+    """
+    started_at_ms: Int64
+    """
+    Start time of the leaf, in milliseconds.
+    """
+
+
+class QuarantineEntry(TypedDict):
+    """
+    Leaves lost under requests with the same content, as one gateway has seen them.
+    """
+
+    fingerprint: str
+    """
+    Digest of method, target, body and account, 16 bytes in hexadecimal.
+    """
+    route: str
+    """
+    Name of the route.
+    """
+    leaves: list[QuarantinedLeaf]
+    """
+    Leaves that have ended.
+    """
+    attempts: NonNegativeInt64
+    """
+    Calls sent for such requests.
+    """
+    quarantined: bool
+    """
+    Whether the sender refuses such requests.
+    """
+    age_seconds: float
+    """
+    Time since the last loss.
+    """
+
+
+class QuarantineNotice(TypedDict):
+    """
+    What a gateway tells others of requests that crash leaves.
+    """
+
+    sender: str
+    """
+    Host that has seen the losses.
+    """
+    data_centre: str
+    """
+    Its data centre.
+    """
+    spread: Literal['all', 'data_centre', 'none']
+    """
+    Whether the receiver passes it on to one host of each data centre, to the hosts of its own, or to none.
+    """
+    entries: list[QuarantineEntry]
+    """
+    Losses, at most 50 entries.
+    """
+
+
 class Frame(TypedDict):
     """
     Unit of transfer between two processes; carries many messages.
--- a/filbertreach/schema/_generated_policy.py
+++ b/filbertreach/schema/_generated_policy.py
@@ -36,6 +36,17 @@
     """
 
 
+class QuarantineSection(TypedDict):
+    """
+    Requests that crash leaves.
+    """
+
+    enabled: NotRequired[bool]
+    """
+    Whether requests under which leaves end are stopped, and refused when they are repeated.
+    """
+
+
 class GatewayPolicy(TypedDict):
     """
     Decisions under load that operators switch on in the gateway, written in INI.
@@ -43,3 +54,4 @@
 
     admission: NotRequired[AdmissionSection]
     spill_over: NotRequired[SpillOverSection]
+    quarantine: NotRequired[QuarantineSection]
