--- a/filbertreach/quarantine/_fleet_quarantine.py
+++ b/filbertreach/quarantine/_fleet_quarantine.py
@@ -26,7 +26,7 @@
 )
 from filbertreach.quarantine._recent_crashes import RecentCrashes
 from filbertreach.quarantine._request_guard import GuardContext, RequestGuard
-from filbertreach.quarantine._request_quarantine import RequestQuarantine
+from filbertreach.quarantine._request_quarantine import MAX_ENTRIES, RequestQuarantine
 from filbertreach.schema import QuarantineNotice
 from filbertreach.timing import Clock
 
@@ -89,6 +89,8 @@
         """Requests in progress."""
         self._route_by_fingerprint: dict[bytes, str] = {}
         """Fingerprints to be shared, with their routes."""
+        self._lost_routes: dict[bytes, str] = {}
+        """Routes by fingerprint, of requests under which this host has lost leaves."""
         self._pending = anyio.Event()
         self._sent_allowance = EntryAllowance()
         self._received_allowance = received_allowance()
@@ -183,6 +185,9 @@
 
     def _on_loss(self, key: bytes, route: str) -> None:
         LEAF_LOSSES.inc()
+        self._lost_routes[key] = route
+        while len(self._lost_routes) > MAX_ENTRIES:
+            del self._lost_routes[next(iter(self._lost_routes))]
         self._queue(key, route)
         self._spawn(lambda: self._check_later(key))
 
@@ -191,10 +196,9 @@
         self._quarantine.check(key, self._clock.now())
 
     def _on_quarantined(self, key: bytes, source: str) -> None:
-        route = self._route_by_fingerprint.get(key, "")
         guards = self._guards_by_fingerprint.get(key, set())
         if not source:
-            route = route or next((guard.route for guard in guards), "")
+            route = self._lost_routes.get(key, "")
             evidence = self._quarantine.evidence(key, self._clock.now())
             _LOGGER.warning(
                 "request quarantined",
--- a/filbertreach/quarantine/_leaf_checks.py
+++ b/filbertreach/quarantine/_leaf_checks.py
@@ -17,10 +17,10 @@
 _CONNECT_TIMEOUT_SECONDS = 0.15
 """Enough for two network delays to another region. Without an answer, the link may be cut, so it
 is not known whether the leaf has ended."""
-_PAUSE_SECONDS = 0.02
-"""Time between two attempts. A process that ends closes its sockets one after the other, and may
-close the connection before the socket at which it listens."""
-_ATTEMPTS = 2
+_PAUSES_SECONDS = (0.0, 0.01, 0.03)
+"""Times before the attempts. A process that ends closes its sockets one after the other, and may
+close the connection before the socket at which it listens; a connection opened meanwhile is
+accepted or reset."""
 _MAX_CHECKS = 128
 """Checks that run at the same time; further leaves count as alive."""
 _ENDED_SECONDS = 1.0
@@ -92,15 +92,17 @@
     """Returns whether nothing listens at an address; False if it is not known."""
     host, port = parse_address(address)
     loop = asyncio.get_running_loop()
-    for attempt in range(_ATTEMPTS):
-        if attempt:
-            await anyio.sleep(_PAUSE_SECONDS)
+    for pause_seconds in _PAUSES_SECONDS:
+        await anyio.sleep(pause_seconds)
         try:
             with anyio.fail_after(_CONNECT_TIMEOUT_SECONDS):
                 transport, _ = await loop.create_connection(asyncio.Protocol, host, port)
         except ConnectionRefusedError:
             return True
-        except (OSError, TimeoutError):
+        except TimeoutError:
             return False
+        except OSError:
+            # Reset while the leaf ends or is at its limit of connections.
+            continue
         transport.abort()
     return False
