Quarantine: a leaf that lives is not checked again at once

A check opens up to three connections. Leaves that reset connections above their limit got these for each lost one; now at most one check in 0.25 s and host.

--- a/filbertreach/quarantine/_leaf_checks.py
+++ b/filbertreach/quarantine/_leaf_checks.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, NamedTuple
 
 import anyio
 
@@ -25,11 +25,21 @@
 """Checks that run at the same time; further leaves count as alive."""
 _ENDED_SECONDS = 1.0
 """Time for which a leaf that has ended is not checked again."""
-_MAX_ENDED = 1_000
+_ALIVE_SECONDS = 0.25
+"""Time for which a leaf that lives is not checked again. A leaf that resets connections above its
+limit would otherwise get even more of them."""
+_MAX_RESULTS = 1_000
+"""Results that are kept."""
 
 Spawn = Callable[[Callable[[], Coroutine[Any, Any, None]]], None]
 
 
+class _Result(NamedTuple):
+    ended: bool
+    until: float
+    """Clock until which the result is used, in seconds."""
+
+
 class LeafChecks:
     """Opens a connection to leaves; one that has ended refuses it.
 
@@ -47,7 +57,7 @@
         self._clock = clock
         self._spawn = spawn
         self._waiting_by_process: dict[LeafProcess, list[Callable[[bool], None]]] = {}
-        self._ended_at_by_process: dict[LeafProcess, float] = {}
+        self._result_by_process: dict[LeafProcess, _Result] = {}
 
     def check(self, process: LeafProcess, address: str, on_checked: Callable[[bool], None]) -> None:
         """Starts a check, unless one of the same leaf is running; see `LeafCheck`.
@@ -57,9 +67,9 @@
             address: ip:port of the leaf.
             on_checked: Called once with whether it has ended.
         """
-        ended_at = self._ended_at_by_process.get(process)
-        if ended_at is not None and self._clock.now() - ended_at < _ENDED_SECONDS:
-            on_checked(True)
+        result = self._result_by_process.get(process)
+        if result is not None and self._clock.now() < result.until:
+            on_checked(result.ended)
             return
         waiting = self._waiting_by_process.get(process)
         if waiting is not None:
@@ -79,10 +89,11 @@
         finally:
             waiting = self._waiting_by_process.pop(process)
         LEAF_CHECKS.labels("ended" if ended else "alive").inc()
+        while len(self._result_by_process) >= _MAX_RESULTS:
+            del self._result_by_process[next(iter(self._result_by_process))]
+        seconds = _ENDED_SECONDS if ended else _ALIVE_SECONDS
+        self._result_by_process[process] = _Result(ended, self._clock.now() + seconds)
         if ended:
-            while len(self._ended_at_by_process) >= _MAX_ENDED:
-                del self._ended_at_by_process[next(iter(self._ended_at_by_process))]
-            self._ended_at_by_process[process] = self._clock.now()
             _LOGGER.info("leaf has ended", leaf=process[0], requests=len(waiting))
         for on_checked in waiting:
             on_checked(ended)
--- a/filbertreach/quarantine/tests/test_leaf_checks.py
+++ b/filbertreach/quarantine/tests/test_leaf_checks.py
@@ -51,6 +51,28 @@
     assert anyio.run(run) == [False]
 
 
+def test_a_leaf_that_lives_is_not_checked_again_at_once() -> None:
+    # Guards against checks that take the connections of a leaf which is short of them.
+    opened: list[object] = []
+
+    async def run() -> None:
+        def count(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            opened.append(writer)
+            writer.transport.abort()
+
+        server = await asyncio.start_server(count, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        async with anyio.create_task_group() as group:
+            checks = LeafChecks(clock=SystemClock(), spawn=lambda task: group.start_soon(task))
+            for _ in range(3):
+                checks.check(("x", 1), f"{host}:{port}", lambda ended: None)
+                await anyio.sleep(0.07)
+        server.close()
+
+    anyio.run(run)
+    assert 1 <= len(opened) <= 3
+
+
 def test_a_listener_that_closes_after_the_connection_is_noticed() -> None:
     # Guards against a process that ends and closes its sockets one after the other.
     results: list[bool] = []
