--- a/filbertreach/gateway/_command.py
+++ b/filbertreach/gateway/_command.py
@@ -163,6 +163,7 @@
                         process.quotas,
                         handover=process.handover,
                         observations=process.observations,
+                        quarantine=process.quarantine,
                     )
                     group.start_soon(_serve_neighbours, settings.neighbour_address, application)
                 _LOGGER.info("started", serve=settings.serve_address, ready=settings.ready_address)
--- a/filbertreach/gateway/_directory.py
+++ b/filbertreach/gateway/_directory.py
@@ -17,7 +17,7 @@
 )
 from filbertreach.document import Route, RouteTable
 from filbertreach.gateway._cold_bound import ColdBound
-from filbertreach.gateway._leaf_handle import Location
+from filbertreach.gateway._leaf_handle import LeafHandle, Location
 from filbertreach.gateway._metrics import ROUTES_VERSION
 from filbertreach.gateway._observed_leaves import ObservedLeaves
 from filbertreach.gateway._request_turns import TurnSchedule
@@ -78,6 +78,7 @@
         cold_bound: ColdBound | None = None,
         load_return: LoadReturn | None = None,
         observations: HostObservations | None = None,
+        on_idle_closed: Callable[[LeafHandle], None] | None = None,
     ) -> None:
         """Creates an empty directory.
 
@@ -95,6 +96,7 @@
             cold_bound: What a cold leaf tolerates; None for the usual bound.
             load_return: Paces the return of load to leaves; None to use them in full at once.
             observations: Observations of leaves that hosts share; None to share none.
+            on_idle_closed: Called when a leaf has closed a connection without a request.
         """
         self.table: RouteTable | None = None
         """Routes in force, None before the first configuration; the version never decreases."""
@@ -116,6 +118,7 @@
         self._cold_bound = cold_bound
         self._load_return = load_return
         self._observations = observations
+        self._on_idle_closed = on_idle_closed
         self._data_centre_statistics = DataCentreStatistics()
         self._spill_over_log = SpillOverLog()
         self._host_count: int | None = None
@@ -276,6 +279,7 @@
                 observed=None
                 if self._observations is None
                 else ObservedLeaves(observations=self._observations),
+                on_idle_closed=self._on_idle_closed,
             )
             if self._host_count is not None:
                 pool.set_host_count(self._host_count)
--- a/filbertreach/gateway/_leaf_handle.py
+++ b/filbertreach/gateway/_leaf_handle.py
@@ -1,6 +1,7 @@
 """A leaf as this host sees it: its entry, observed state, request limit and connections."""
 
 import math
+from collections.abc import Callable
 from typing import NamedTuple
 
 from filbertreach.decisions import Distance, LeafTracker, SpillCandidate
@@ -77,6 +78,7 @@
         schedule: TurnSchedule,
         cold_bound: ColdBound,
         clock: Clock,
+        on_idle_closed: Callable[["LeafHandle"], None] | None = None,
     ) -> None:
         """Creates a handle without connections.
 
@@ -88,6 +90,7 @@
             schedule: Turns in which this host calls leaves that limit their requests.
             cold_bound: What the leaf tolerates while it is cold.
             clock: Source of time.
+            on_idle_closed: Called when the leaf has closed a connection without a request.
         """
         self.entry = entry
         self.max_connections = connections
@@ -119,6 +122,7 @@
         """Clock until which the leaf may be chosen as a last resort; infinite while it is listed as
         ready."""
         self._clock = clock
+        self._on_idle_closed = on_idle_closed
         self._idle: list[LeafConnection] = []
         self._usable: set[LeafConnection] = set()
         """Connections that are being opened, carry a request or are idle; not those that are being
@@ -183,6 +187,11 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
+    def on_idle_closed(self) -> None:
+        """Reports that the leaf has closed a connection without a request."""
+        if self._on_idle_closed is not None:
+            self._on_idle_closed(self)
+
     def on_closed(self, connection: LeafConnection) -> None:
         """Removes a closed connection."""
         self._usable.discard(connection)
--- a/filbertreach/gateway/_neighbour_application.py
+++ b/filbertreach/gateway/_neighbour_application.py
@@ -23,6 +23,7 @@
     read_request_body,
     respond,
 )
+from filbertreach.quarantine import NOTICE_PATH, FleetQuarantine
 from filbertreach.quotas import (
     ACCOUNTS_PATH,
     DEMAND_PATH,
@@ -31,7 +32,14 @@
     FleetQuotas,
     QuotaError,
 )
-from filbertreach.schema import JsonDecoder, KnownHost, QuotaReport, QuotaRequest, parse_count
+from filbertreach.schema import (
+    JsonDecoder,
+    KnownHost,
+    QuarantineNotice,
+    QuotaReport,
+    QuotaRequest,
+    parse_count,
+)
 
 _MAX_WAIT_SECONDS = 10.0
 _MAX_SHOWN_CHARACTERS = 80
@@ -39,11 +47,14 @@
 _MAX_QUOTA_MESSAGE_BYTES = 256 * 1024
 """Bytes of a message about quotas. A seed keeps up to 128 of them; one with the largest number of
 accounts and loans, and names of 20 characters, has about 200 KB."""
+_MAX_NOTICE_BYTES = 256 * 1024
+"""Bytes of a message about requests that crash leaves: 50 entries with long names."""
 _PROBLEM_TYPE = "application/problem+json"
 _LEAF_ROUTES = frozenset({(REPORTS_PATH, "POST"), (STATES_PATH, "GET")})
 
 _REQUEST_DECODER = JsonDecoder(message=QuotaRequest)
 _REPORT_DECODER = JsonDecoder(message=QuotaReport)
+_NOTICE_DECODER = JsonDecoder(message=QuarantineNotice)
 
 
 def neighbour_application(
@@ -53,8 +64,9 @@
     *,
     handover: RetryHandover | None = None,
     observations: SharedObservations | None = None,
+    quarantine: FleetQuarantine | None = None,
 ) -> Application:
-    """Creates the ASGI application for announcements, changes of the store, quotas and leaves.
+    """Creates the ASGI application for what gateways ask and tell each other.
 
     Args:
         neighbours: Receives the announcements.
@@ -62,6 +74,7 @@
         quotas: Answers about quotas; None for no answers.
         handover: Keeps the retry histories of hosts that stop; None for no answers.
         observations: Answers about leaves; None for no answers.
+        quarantine: Takes losses of leaves under requests; None to take none.
     """
 
     async def answer(path: str, query: dict[str, str]) -> object:
@@ -94,6 +107,9 @@
         if path == ACCOUNTS_PATH and scope["method"] == "GET" and quotas is not None:
             await _show_accounts(quotas, scope["query_string"], send)
             return
+        if path == NOTICE_PATH and scope["method"] == "POST" and quarantine is not None:
+            await _take_notice(quarantine, receive, send)
+            return
         if path not in (HOSTS_PATH, CHANGES_PATH, RETRY_HISTORIES_PATH):
             await respond(send, 404, b'{"title": "not found"}\n', _PROBLEM_TYPE)
             return
@@ -130,6 +146,20 @@
     await respond(send, 200, compress(msgspec.json.encode(reply)), "application/zlib")
 
 
+async def _take_notice(quarantine: FleetQuarantine, receive: Receive, send: Send) -> None:
+    """Takes a message about requests that crash leaves."""
+    try:
+        body = await read_request_body(receive, max_bytes=_MAX_NOTICE_BYTES)
+        quarantine.on_notice(_NOTICE_DECODER.decode(body))
+    except ClientDisconnectedError:
+        return
+    except (RequestTooLargeError, ValueError) as error:
+        detail = msgspec.json.encode({"title": f"unusable message: {error!r}"})
+        await respond(send, 400, detail, _PROBLEM_TYPE)
+        return
+    await respond(send, 200, b"{}", "application/json")
+
+
 async def _take_retry_histories(handover: RetryHandover, receive: Receive, send: Send) -> None:
     """Keeps what a host that stops hands over."""
     try:
--- a/filbertreach/gateway/_policy.py
+++ b/filbertreach/gateway/_policy.py
@@ -26,6 +26,8 @@
     """Whether observations of leaves are shared with the other hosts of the data centre."""
     account_shares: bool = False
     """Whether accounts get fair shares while leaves are under pressure."""
+    quarantine: bool = False
+    """Whether requests that crash leaves are stopped and refused."""
 
 
 def load_policy(path: str) -> Result[GatewayPolicy, SettingsError]:
@@ -54,4 +56,5 @@
         load_return=values["load_return"]["enabled"],
         leaf_observations=values["leaf_observations"]["enabled"],
         account_shares=values["account_shares"]["enabled"],
+        quarantine=values["quarantine"]["enabled"],
     )
--- a/filbertreach/gateway/_process.py
+++ b/filbertreach/gateway/_process.py
@@ -31,6 +31,7 @@
 )
 from filbertreach.gateway._neighbours import Neighbours
 from filbertreach.gateway._policy import GatewayPolicy
+from filbertreach.gateway._quarantine_gate import QuarantineGate
 from filbertreach.gateway._query import Query, QueryResult
 from filbertreach.gateway._quota_refusal import refuse_quota
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
@@ -45,6 +46,7 @@
     attach_account,
     refuse,
 )
+from filbertreach.quarantine import FleetQuarantine, RequestGuard
 from filbertreach.quotas import FleetQuotas, QuotaBounds, QuotaDecision
 from filbertreach.timing import TimerService
 
@@ -56,6 +58,8 @@
 _NOT_READY_RETRY_SECONDS = 0.5
 _OUTCOMES_NOT_RUN = frozenset({"not_run", "limited", "overloaded"})
 """Outcomes of queries that no leaf has run."""
+_OUTCOMES_OF_ALL_CALLS = frozenset({"overloaded", "leaves_lost"})
+"""Outcomes that end all calls of a query for the same reason."""
 
 _LOGGER = get_logger(__name__)
 
@@ -129,6 +133,7 @@
             cold_bound=ColdBound(settings.bounds.cold_overrun, settings.bounds.cold_slack),
             load_return=LoadReturn() if self._policy.load_return else None,
             observations=observations if self._policy.leaf_observations else None,
+            on_idle_closed=lambda handle: self._gate.on_idle_closed(handle),
         )
         self.change_log = ChangeLog(clock=self._clock)
         """Changes of the store that this host has applied, for its neighbours."""
@@ -158,6 +163,12 @@
                 hosts=self.neighbours,
                 timers=timers,
             )
+        self._gate = QuarantineGate(
+            enabled=self._policy.quarantine,
+            settings=settings,
+            neighbours=self.neighbours,
+            clock=self._clock,
+        )
         self.quotas = FleetQuotas(
             host=settings.host,
             data_centre=settings.data_centre,
@@ -189,6 +200,8 @@
         await self._stack.enter_async_context(self._store)
         self._group = await self._stack.enter_async_context(anyio.create_task_group())
         await self._stack.enter_async_context(self.quotas)
+        if self._gate.quarantine is not None:
+            await self._stack.enter_async_context(self._gate.quarantine)
         follower = StoreFollower(
             store=self._store,
             clock=self._clock,
@@ -228,6 +241,11 @@
         self._group.cancel_scope.cancel()
         return await self._stack.__aexit__(kind, error, trace)
 
+    @property
+    def quarantine(self) -> FleetQuarantine | None:
+        """Requests that crash leaves; None if their quarantine is not enabled."""
+        return self._gate.quarantine
+
     @property
     def max_body_bytes(self) -> int:
         """Largest accepted request body, in bytes."""
@@ -271,7 +289,12 @@
         access = await self._check_access(request, route, table)
         if isinstance(access, CallerAnswer):
             return HandledRequest(access)
-        query = self._make_query(access, arrived_at, arrival)
+        guard = self._gate.admit(access.request, access.route, access.account, table.version)
+        if isinstance(guard, CallerAnswer):
+            if access.decision is not None:
+                self.quotas.release(access.decision)
+            return HandledRequest(guard)
+        query = self._make_query(access, arrived_at, arrival, guard)
         result = await self._run_query(query, access.decision, arrived_at, table.version)
         seconds = self._clock.now() - arrived_at
         self._record_metrics(query, result, seconds)
@@ -329,7 +352,11 @@
         return _Access(request, route, account, decision)
 
     def _make_query(
-        self, access: _Access, arrived_at: float, arrival: RequestArrival | None
+        self,
+        access: _Access,
+        arrived_at: float,
+        arrival: RequestArrival | None,
+        guard: RequestGuard | None,
     ) -> Query:
         route = access.route
         statistics = self.directory.statistics(route)
@@ -344,6 +371,7 @@
             reserve=self._reserve,
             window=statistics.window(route.priority) if self._policy.admission else None,
             arrival=arrival,
+            guard=guard,
         )
 
     async def _run_query(
@@ -372,6 +400,7 @@
             raise
         finally:
             self._in_progress -= 1
+            self._gate.release(query.guard)
         if decision is not None and result.outcome in _OUTCOMES_NOT_RUN:
             self.quotas.release(decision)
         return result
@@ -414,8 +443,8 @@
                 }
                 for call in result.calls
                 if call.fault_reasons or call.extra_attempts or (call.answer is None and call.done)
-                # The calls of a query that admission refused all have the same entry.
-                if call.tried_leaf_ids or result.outcome != "overloaded"
+                # Calls that were not sent for a reason of the whole query have the same entry.
+                if call.tried_leaf_ids or result.outcome not in _OUTCOMES_OF_ALL_CALLS
             ],
         )
 
@@ -454,6 +483,7 @@
         if pause:
             _LOGGER.warning("process was paused", seconds=round(pause, 3))
         self.directory.remove_expired(self._clock.now())
+        self._gate.remove_expired()
         host_count = self.neighbours.fleet_size() if self.neighbours is not None else None
         if host_count is not None:
             FLEET_SIZE.set(host_count)
--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -75,6 +75,7 @@
         cold_bound: ColdBound | None = None,
         load_return: LoadReturn | None = None,
         observed: ObservedLeaves | None = None,
+        on_idle_closed: Callable[[LeafHandle], None] | None = None,
     ) -> None:
         """Creates a pool without leaves.
 
@@ -94,6 +95,7 @@
             cold_bound: What a cold leaf tolerates; None for the usual bound.
             load_return: Paces the return of load to leaves; None to use them in full at once.
             observed: Observations that hosts share; None to use those of this host alone.
+            on_idle_closed: Called when a leaf has closed a connection without a request.
         """
         self.service = service
         self.admission = ServiceAdmission() if admission else None
@@ -113,6 +115,7 @@
         self._spill_over = spill_over
         self._spill_over_log = spill_over_log
         self._observed = observed
+        self._on_idle_closed = on_idle_closed
         self._sent_out_reason: SpillReason | None = None
         """Why the leaf that was chosen last is in another data centre."""
         self._connections: int | None = None
@@ -193,6 +196,7 @@
                 schedule=self._schedule,
                 cold_bound=self._cold_bound,
                 clock=self._clock,
+                on_idle_closed=self._on_idle_closed,
             )
             self._set_connection_limits(handle)
             handle.request_limit.cold_per_second = self._cold_per_second
--- a/filbertreach/schema/_generated_policy.py
+++ b/filbertreach/schema/_generated_policy.py
@@ -6,6 +6,17 @@
 from typing import NotRequired, TypedDict
 
 
+class QuarantineSection(TypedDict):
+    """
+    Requests that crash leaves.
+    """
+
+    enabled: NotRequired[bool]
+    """
+    Whether requests under which leaves end are stopped, and refused when they are repeated.
+    """
+
+
 class AccountSharesSection(TypedDict):
     """
     Fair shares of client accounts while leaves are under pressure.
@@ -85,6 +96,7 @@
     Decisions under load that operators switch on in the gateway, written in INI.
     """
 
+    quarantine: NotRequired[QuarantineSection]
     account_shares: NotRequired[AccountSharesSection]
     admission: NotRequired[AdmissionSection]
     caller_reserve: NotRequired[CallerReserveSection]
