--- a/filbertreach/gateway/_process.py
+++ b/filbertreach/gateway/_process.py
@@ -9,7 +9,7 @@
 import anyio
 import anyio.abc
 
-from filbertreach.decisions import CallerReserve, LoadReturn, RequestArrival
+from filbertreach.decisions import LoadReturn, RequestArrival
 from filbertreach.document import ClientAccount, Route, RouteTable
 from filbertreach.gateway._change_log import ChangeLog
 from filbertreach.gateway._cold_bound import ColdBound
@@ -18,15 +18,11 @@
 from filbertreach.gateway._key_revocation import KeyRevocation, refuse_stale_keys
 from filbertreach.gateway._leaf_handle import Location
 from filbertreach.gateway._leaf_pressure import LeafPressure
-from filbertreach.gateway._loop_probe import LoopProbe
 from filbertreach.gateway._metrics import (
     CALLERS_LEFT,
     FLEET_SIZE,
     LEAVES,
     LIMITED_LEAVES,
-    MISSING_SHARDS,
-    REQUEST_SECONDS,
-    REQUESTS,
     REQUESTS_IN_PROGRESS,
 )
 from filbertreach.gateway._neighbours import Neighbours
@@ -34,8 +30,10 @@
 from filbertreach.gateway._quarantine_gate import QuarantineGate
 from filbertreach.gateway._query import Query, QueryResult
 from filbertreach.gateway._quota_refusal import refuse_quota
+from filbertreach.gateway._request_log import log_request, record_request
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
 from filbertreach.gateway._retry_handover import RetryHandover
+from filbertreach.gateway._return_path import ReturnPath
 from filbertreach.leaf_observations import HostObservations, SharedObservations
 from filbertreach.observability import Health, get_logger
 from filbertreach.platform import (
@@ -58,8 +56,6 @@
 _NOT_READY_RETRY_SECONDS = 0.5
 _OUTCOMES_NOT_RUN = frozenset({"not_run", "limited", "overloaded"})
 """Outcomes of queries that no leaf has run."""
-_OUTCOMES_OF_ALL_CALLS = frozenset({"overloaded", "leaves_lost"})
-"""Outcomes that end all calls of a query for the same reason."""
 
 _LOGGER = get_logger(__name__)
 
@@ -183,16 +179,12 @@
         )
         """Grants requests of client accounts with a quota."""
         self._in_progress = 0
-        self._reserve: CallerReserve | None = None
-        """Reserve of the objectives; None for the constant one."""
-        self._loop_probe: LoopProbe | None = None
-        if self._policy.caller_reserve:
-            self._reserve = CallerReserve(
-                link_bytes_per_second=settings.link_bytes_per_second, cores=settings.cores
-            )
-            self._loop_probe = LoopProbe(
-                reserve=self._reserve, timers=timers, in_progress=lambda: self._in_progress
-            )
+        self._return_path = ReturnPath(
+            enabled=self._policy.caller_reserve,
+            settings=settings,
+            timers=timers,
+            in_progress=lambda: self._in_progress,
+        )
 
     async def __aenter__(self) -> Self:
         """Starts to follow the store; the process is ready once it has routes and leaves."""
@@ -285,7 +277,7 @@
                 version=table.version,
             )
             return HandledRequest(refuse(404, "no route"))
-        arrived_at = self._arrived_at(arrival)
+        arrived_at = self._return_path.arrived_at(arrival)
         access = await self._check_access(request, route, table)
         if isinstance(access, CallerAnswer):
             return HandledRequest(access)
@@ -297,8 +289,8 @@
         query = self._make_query(access, arrived_at, arrival, guard)
         result = await self._run_query(query, access.decision, arrived_at, table.version)
         seconds = self._clock.now() - arrived_at
-        self._record_metrics(query, result, seconds)
-        self._log_request(query, result, access.account, table.version, seconds)
+        record_request(query, result, seconds)
+        log_request(query, result, access.account, table.version, seconds)
         return HandledRequest(result.answer, query.decided_at)
 
     def record_sent(self, handled: HandledRequest) -> None:
@@ -307,15 +299,7 @@
         Args:
             handled: Result of `handle`.
         """
-        if self._reserve is not None and handled.decided_at < math.inf:
-            now = self._clock.now()
-            self._reserve.record_finish(now - handled.decided_at, now)
-
-    def _arrived_at(self, arrival: RequestArrival | None) -> float:
-        """Returns the clock from which the objective of a request counts, in seconds."""
-        if self._reserve is None or arrival is None or arrival.received_at is None:
-            return self._clock.now()
-        return arrival.received_at
+        self._return_path.on_answer_sent(handled.decided_at)
 
     async def _check_access(
         self, request: CallerRequest, route: Route, table: RouteTable
@@ -368,7 +352,7 @@
             late_shard_latencies=statistics.late_shard_latencies,
             clock=self._clock,
             arrived_at=arrived_at,
-            reserve=self._reserve,
+            reserve=self._return_path.reserve,
             window=statistics.window(route.priority) if self._policy.admission else None,
             arrival=arrival,
             guard=guard,
@@ -379,8 +363,7 @@
     ) -> QueryResult:
         """Runs a query; returns the credit of its quota if no leaf has run it."""
         self._in_progress += 1
-        if self._loop_probe is not None:
-            self._loop_probe.start()
+        self._return_path.on_query()
         try:
             result = await query.run()
         except BaseException:
@@ -405,49 +388,6 @@
             self.quotas.release(decision)
         return result
 
-    def _record_metrics(self, query: Query, result: QueryResult, seconds: float) -> None:
-        kind = "scatter" if query.route.shards else "single"
-        REQUESTS.labels(kind, result.outcome, str(result.answer.status)).inc()
-        REQUEST_SECONDS.labels(kind).observe(seconds)
-        if result.answer.status == 200 and query.route.shards:
-            MISSING_SHARDS.inc(len(result.calls) - result.included)
-
-    def _log_request(
-        self,
-        query: Query,
-        result: QueryResult,
-        account: ClientAccount | None,
-        version: int,
-        seconds: float,
-    ) -> None:
-        _LOGGER.info(
-            "request",
-            kind="request ok" if result.outcome == "answered" else "request failed",
-            request=query.request.id,
-            route=query.route.name,
-            version=version,
-            outcome=result.outcome,
-            status=result.answer.status,
-            ms=round(seconds * 1000, 1),
-            included=result.included,
-            shards=len(result.calls),
-            **({} if account is None else {"account": account.name}),
-            **query.admission_fields(),
-            exceptions=[
-                {
-                    "service": call.pool.service,
-                    "leaves": call.tried_leaf_ids,
-                    "faults": call.fault_reasons,
-                    "end": call.state.value,
-                    "pending": call.pending_leaf_id,
-                }
-                for call in result.calls
-                if call.fault_reasons or call.extra_attempts or (call.answer is None and call.done)
-                # Calls that were not sent for a reason of the whole query have the same entry.
-                if call.tried_leaf_ids or result.outcome not in _OUTCOMES_OF_ALL_CALLS
-            ],
-        )
-
     def reload(self, settings: HostSettings) -> None:
         """Applies the settings that can change without a restart, which are the bounds.
 
