--- a/filbertreach/decisions/_load_return.py
+++ b/filbertreach/decisions/_load_return.py
@@ -4,7 +4,6 @@
 import math
 import random
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
 
 RETURN_SECONDS = 8.0
 """Time until the leaves get all the calls that they would get without a pace."""
@@ -16,12 +15,40 @@
 _MIN_STARTED_SHARE = 0.25
 """Leaves that start within the window are a mass return if they are at least this part of the
 leaves of their data centre and at least `_MIN_STARTED`. A rolling restart stays below that."""
-
-
-class _Start(NamedTuple):
-    leaf_id: str
-    data_centre: str
-    at: float
+_DROP_SECONDS = 1.0
+"""Least time between two looks for returns that have ended."""
+
+
+class _Starts:
+    """Leaves of one data centre that started within `_START_WINDOW_SECONDS`."""
+
+    def __init__(self) -> None:
+        self._started_at_by_leaf: collections.OrderedDict[str, float] = collections.OrderedDict()
+        """Time of the latest start in seconds, oldest first."""
+        self._waiting: dict[str, None] = {}
+        """Those whose return has not begun, as they were too few."""
+
+    def __len__(self) -> int:
+        return len(self._started_at_by_leaf)
+
+    def add(self, leaf_id: str, now: float) -> None:
+        """Adds a start, and removes those that are too old."""
+        self._started_at_by_leaf[leaf_id] = now
+        # A leaf that has started again begins again.
+        self._started_at_by_leaf.move_to_end(leaf_id)
+        self._waiting[leaf_id] = None
+        while True:
+            oldest = next(iter(self._started_at_by_leaf))
+            if self._started_at_by_leaf[oldest] >= now - _START_WINDOW_SECONDS:
+                return
+            del self._started_at_by_leaf[oldest]
+            self._waiting.pop(oldest, None)
+
+    def take_waiting(self) -> list[str]:
+        """Returns the leaves whose return has not begun; it begins now."""
+        leaf_ids = list(self._waiting)
+        self._waiting.clear()
+        return leaf_ids
 
 
 class LoadReturn:
@@ -44,9 +71,10 @@
         """When the evacuation of a data centre was withdrawn, by data centre, in seconds."""
         self._began_at_by_leaf: dict[str, float] = {}
         """When a leaf that started together with others began to get calls, in seconds."""
-        self._starts: collections.deque[_Start] = collections.deque()
-        """Starts within `_START_WINDOW_SECONDS`, oldest first."""
+        self._starts_by_data_centre: dict[str, _Starts] = {}
         self._active_until = -math.inf
+        self._drop_at = -math.inf
+        """Clock from which returns that have ended are dropped, in seconds."""
 
     def on_evacuated(self, data_centre: str) -> None:
         """Ends a return to a data centre.
@@ -67,34 +95,24 @@
         self._began_at_by_data_centre[data_centre] = now
         self._active_until = now + RETURN_SECONDS
 
-    def on_started(
-        self, leaf_id: str, data_centre: str, now: float, *, count_leaves: Callable[[], int]
-    ) -> int:
+    def on_started(self, leaf_id: str, data_centre: str, now: float, *, leaves: int) -> int:
         """Records that a leaf came into use, and begins a return if many do so.
 
         Args:
             leaf_id: Id of the leaf.
             data_centre: Its data centre.
             now: Current clock, in seconds.
-            count_leaves: Returns the number of leaves of the data centre, this one included.
+            leaves: Number of listed leaves of the data centre, this one included.
 
         Returns:
             Number of leaves whose return began by this start, 0 if it is no mass return.
         """
-        starts = self._starts
-        starts.append(_Start(leaf_id, data_centre, now))
-        while starts[0].at < now - _START_WINDOW_SECONDS:
-            starts.popleft()
-        started = {start.leaf_id for start in starts if start.data_centre == data_centre}
-        if len(started) < _MIN_STARTED or len(started) < _MIN_STARTED_SHARE * count_leaves():
+        starts = self._starts_by_data_centre.setdefault(data_centre, _Starts())
+        starts.add(leaf_id, now)
+        if len(starts) < _MIN_STARTED or len(starts) < _MIN_STARTED_SHARE * leaves:
             return 0
         self._drop_ended(now)
-        returning = [
-            other
-            for other in started
-            # A leaf that has started again begins again.
-            if other == leaf_id or other not in self._began_at_by_leaf
-        ]
+        returning = starts.take_waiting()
         self._began_at_by_leaf.update(dict.fromkeys(returning, now))
         self._active_until = now + RETURN_SECONDS
         return len(returning)
@@ -137,6 +155,9 @@
         )
 
     def _drop_ended(self, now: float) -> None:
+        if now < self._drop_at:
+            return
+        self._drop_at = now + _DROP_SECONDS
         began_after = now - RETURN_SECONDS
         for began_at_by_name in (self._began_at_by_data_centre, self._began_at_by_leaf):
             for name in [n for n, began_at in began_at_by_name.items() if began_at <= began_after]:
--- a/filbertreach/decisions/tests/test_load_return.py
+++ b/filbertreach/decisions/tests/test_load_return.py
@@ -4,6 +4,7 @@
 import itertools
 import math
 import random
+import time
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -147,7 +148,7 @@
         pace.on_withdrawn("near", now)
         return
     for leaf_id in sorted(returning):
-        pace.on_started(leaf_id, "near", now, count_leaves=lambda: _LEAVES)
+        pace.on_started(leaf_id, "near", now, leaves=_LEAVES)
 
 
 @pytest.mark.parametrize("evacuated", [True, False])
@@ -170,9 +171,7 @@
 
 
 def _started(pace: LoadReturn, count: int, *, leaves: int, every: float = 0.1) -> int:
-    return sum(
-        pace.on_started(f"l{n}", "dc", n * every, count_leaves=lambda: leaves) for n in range(count)
-    )
+    return sum(pace.on_started(f"l{n}", "dc", n * every, leaves=leaves) for n in range(count))
 
 
 def test_single_starts_and_a_rolling_restart_are_no_mass_return() -> None:
@@ -185,6 +184,15 @@
     assert pace.withheld([("l19", "dc")], 19.0) == frozenset()
 
 
+def test_starts_of_all_leaves_keep_the_event_loop_free() -> None:
+    # Guards against a start whose cost grows with the number of starts: 0.9 ms with 6,100 leaves,
+    # of which the store reports 50 at a time.
+    pace = LoadReturn()
+    began_at = time.process_time()
+    assert _started(pace, 6100, leaves=6100, every=0.0005) == 6100
+    assert time.process_time() - began_at < 0.3
+
+
 def test_a_mass_return_concerns_all_leaves_that_started_together() -> None:
     pace = LoadReturn(draw=lambda: 0.5)
     assert _started(pace, 26, leaves=100) == 26
@@ -192,7 +200,7 @@
     assert pace.withheld(leaves, 2.5) == {"l0", "l25"}
     # A leaf that starts again begins again; the others go on.
     half = 2.4 + RETURN_SECONDS / 2.0
-    pace.on_started("l0", "dc", half, count_leaves=lambda: 1)
+    pace.on_started("l0", "dc", half, leaves=1)
     assert pace.share("l0", "dc", half) == 1.0 / 32.0
     assert pace.share("l25", "dc", half) == pytest.approx(32.0**-0.5, rel=0.05)
 
--- a/filbertreach/gateway/_directory.py
+++ b/filbertreach/gateway/_directory.py
@@ -1,5 +1,6 @@
 """Routing state of the gateway: the routes in force and the leaves of each service."""
 
+import collections
 import math
 import random
 from collections.abc import Callable
@@ -115,6 +116,9 @@
         self._spill_over_log = SpillOverLog()
         self._host_count: int | None = None
         self._service_by_leaf: dict[str, str] = {}
+        self._data_centre_by_leaf: dict[str, str] = {}
+        self._leaf_count_by_data_centre: collections.Counter[str] = collections.Counter()
+        """Listed leaves of each data centre; a count for each start of a leaf takes too long."""
         self._statistics_by_route: dict[str, RouteStatistics] = {}
         self._configured_services: set[str] = set()
         """Services that the routes in force name."""
@@ -319,6 +323,7 @@
         if old_service is not None and old_service != entry.service:
             self.pool(old_service).unlist_leaf(leaf_id, since=since)
         self._service_by_leaf[leaf_id] = entry.service
+        self._set_data_centre(leaf_id, entry.leaf.data_centre)
         pool = self.pool(entry.service)
         old_handle = pool.handle_by_id.get(leaf_id)
         was_in_use = old_handle is not None and old_handle.usable_until == math.inf
@@ -339,11 +344,7 @@
             entry.leaf.id,
             data_centre,
             self._clock.now(),
-            count_leaves=lambda: sum(
-                handle.leaf.data_centre == data_centre
-                for pool in self.pool_by_service.values()
-                for handle in pool.handle_by_id.values()
-            ),
+            leaves=self._leaf_count_by_data_centre[data_centre],
         )
         if count:
             _LOGGER.info(
@@ -352,10 +353,20 @@
 
     def _unlist_leaf(self, leaf_id: str, reason: str, since: float) -> None:
         service = self._service_by_leaf.pop(leaf_id, None)
+        self._set_data_centre(leaf_id, None)
         if service is not None:
             self.pool(service).unlist_leaf(leaf_id, since=since)
             _LOGGER.info("leaf unlisted", leaf=leaf_id, service=service, reason=reason)
 
+    def _set_data_centre(self, leaf_id: str, data_centre: str | None) -> None:
+        """Records the data centre of a listed leaf; None if it is no longer listed."""
+        old = self._data_centre_by_leaf.pop(leaf_id, None)
+        if old is not None:
+            self._leaf_count_by_data_centre[old] -= 1
+        if data_centre is not None:
+            self._data_centre_by_leaf[leaf_id] = data_centre
+            self._leaf_count_by_data_centre[data_centre] += 1
+
     def count_leaves(self) -> int:
         """Returns the number of listed leaves, including those that are leaving."""
         return len(self._service_by_leaf)
--- a/filbertreach/gateway/tests/test_load_return.py
+++ b/filbertreach/gateway/tests/test_load_return.py
@@ -113,6 +113,18 @@
     assert host.chosen() == data_centre
 
 
+def test_the_share_of_starts_is_that_of_the_listed_leaves_of_the_data_centre() -> None:
+    # Guards against a count that leaves which are gone, or moved, keep too high.
+    host = _Host()
+    assert host.directory._leaf_count_by_data_centre == {"minho-1": 3, "minho-2": 2}
+    host.restart(0)
+    host.directory.on_change("servers/leaf-1", None, 0.0)
+    host.directory.on_change("servers/leaf-1", None, 0.0)
+    assert host.directory._leaf_count_by_data_centre == {"minho-1": 2, "minho-2": 2}
+    host.directory.on_listing(StoredListing({_item(3).key: _item(3)}, 2), 0.0)
+    assert host.directory._leaf_count_by_data_centre == {"minho-1": 0, "minho-2": 1}
+
+
 def test_the_limit_of_a_cold_leaf_sets_the_pace() -> None:
     # Guards against a leaf that gets even less than the limit that it states.
     host = _Host()
