Return of load: a choice of a leaf costs nothing while no load returns

With [load_return], each choice built a list of all leaves that may get the call, and asked each whether it is cold, although load returns only for seconds. The pool asks first whether any load returns. The test failed before, as the pace was asked for without a return.

--- a/filbertreach/decisions/_load_return.py
+++ b/filbertreach/decisions/_load_return.py
@@ -134,6 +134,14 @@
             return 1.0
         return math.pow(_FIRST_SHARE, 1.0 - max(0.0, progress))
 
+    def is_active(self, now: float) -> bool:
+        """Returns whether load is returning to any leaf.
+
+        Args:
+            now: Current clock, in seconds.
+        """
+        return now < self._active_until
+
     def withheld(self, leaves: Iterable[tuple[str, str]], now: float) -> frozenset[str]:
         """Returns the leaves that one call does not use, chosen at random.
 
@@ -145,7 +153,7 @@
             Ids of leaves. One number is drawn for the call: if each leaf drew its own, nearly every
             call would find one that it may use, and all these calls would go there.
         """
-        if now >= self._active_until:
+        if not self.is_active(now):
             return frozenset()
         drawn = self._draw()
         return frozenset(
--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -367,13 +367,15 @@
         return listed, last_resort
 
     def _paced(self, listed: list[LeafHandle], now: float) -> list[list[LeafHandle]]:
-        """Returns the leaves to choose from, and all of them if those can not take the call.
+        """Returns the leaves to choose from, and all of them if those cannot take the call.
 
         Leaves to which load is returning are left out for a part of the calls. While a leaf is
         cold, its limit sets the pace.
         """
-        if not listed or self._load_return is None:
-            return [listed] if listed else []
+        if not listed:
+            return []
+        if self._load_return is None or not self._load_return.is_active(now):
+            return [listed]
         withheld = self._load_return.withheld(
             [
                 (handle.leaf.id, handle.leaf.data_centre)
--- a/filbertreach/gateway/tests/test_load_return.py
+++ b/filbertreach/gateway/tests/test_load_return.py
@@ -140,6 +140,22 @@
     assert _Host().chosen() == "minho-1"
 
 
+def test_without_a_return_a_choice_does_not_look_at_the_pace_of_leaves(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against work for each leaf in each choice, of which a query makes about a hundred.
+    def fail(self: LoadReturn, leaves: object, now: float) -> frozenset[str]:
+        raise AssertionError("the pace was asked for")
+
+    monkeypatch.setattr(LoadReturn, "withheld", fail)
+    host = _Host()
+    assert host.chosen() == "minho-1"
+    host.evacuate()
+    host.evacuate(withdrawn=True)
+    host.clock.advance(RETURN_SECONDS)
+    assert host.chosen() == "minho-1"
+
+
 def test_the_policy_switches_it_on(tmp_path: pathlib.Path) -> None:
     path = tmp_path / "policy.ini"
     path.write_text("[load_return]\nenabled = true\n")
