Soak: a leaf that refused is held until the time that it named has ended

The soak test could report more than two requests in the time that a refusal names, although nothing was wrong: another kind restarts the same leaf, and a new process may be called at once. The kind keeps the leaf for the time of its last refusal.

--- a/filbertreach_standins/gateways/_account_fault_kinds.py
+++ b/filbertreach_standins/gateways/_account_fault_kinds.py
@@ -77,3 +77,5 @@
     context.wait(context.rng.uniform(2.0, 6.0))
     for leaf in leaves:
         leaf.set_faults(retry_after=None)
+    # A kind that restarts the leaf would end the time for gateways, but not for the check.
+    context.wait(seconds)
