Return of load: starts of data centres that are gone are dropped

They are dropped once a second at most, like returns that have ended, and the directory keeps no count of zero. The test failed before, with 1,000 data centres.

--- a/filbertreach/decisions/_load_return.py
+++ b/filbertreach/decisions/_load_return.py
@@ -16,7 +16,7 @@
 """Leaves that start within the window are a mass return if they are at least this part of the
 leaves of their data centre and at least `_MIN_STARTED`. A rolling restart stays below that."""
 _DROP_SECONDS = 1.0
-"""Least time between two looks for returns that have ended."""
+"""Least time between two looks for starts and returns that have ended."""
 
 
 class _Starts:
@@ -32,12 +32,16 @@
         return len(self._started_at_by_leaf)
 
     def add(self, leaf_id: str, now: float) -> None:
-        """Adds a start, and removes those that are too old."""
+        """Adds a start, and removes those before the window."""
         self._started_at_by_leaf[leaf_id] = now
         # A leaf that has started again begins again.
         self._started_at_by_leaf.move_to_end(leaf_id)
         self._waiting[leaf_id] = None
-        while True:
+        self.remove_old(now)
+
+    def remove_old(self, now: float) -> None:
+        """Removes the starts before the window."""
+        while self._started_at_by_leaf:
             oldest = next(iter(self._started_at_by_leaf))
             if self._started_at_by_leaf[oldest] >= now - _START_WINDOW_SECONDS:
                 return
@@ -74,7 +78,7 @@
         self._starts_by_data_centre: dict[str, _Starts] = {}
         self._active_until = -math.inf
         self._drop_at = -math.inf
-        """Clock from which returns that have ended are dropped, in seconds."""
+        """Clock from which starts and returns that have ended are dropped, in seconds."""
 
     def on_evacuated(self, data_centre: str) -> None:
         """Ends a return to a data centre.
@@ -107,11 +111,11 @@
         Returns:
             Number of leaves whose return began by this start, 0 if it is no mass return.
         """
+        self._drop_ended(now)
         starts = self._starts_by_data_centre.setdefault(data_centre, _Starts())
         starts.add(leaf_id, now)
         if len(starts) < _MIN_STARTED or len(starts) < _MIN_STARTED_SHARE * leaves:
             return 0
-        self._drop_ended(now)
         returning = starts.take_waiting()
         self._began_at_by_leaf.update(dict.fromkeys(returning, now))
         self._active_until = now + RETURN_SECONDS
@@ -166,6 +170,10 @@
         if now < self._drop_at:
             return
         self._drop_at = now + _DROP_SECONDS
+        for name, starts in list(self._starts_by_data_centre.items()):
+            starts.remove_old(now)
+            if not starts:
+                del self._starts_by_data_centre[name]
         began_after = now - RETURN_SECONDS
         for began_at_by_name in (self._began_at_by_data_centre, self._began_at_by_leaf):
             for name in [n for n, began_at in began_at_by_name.items() if began_at <= began_after]:
--- a/filbertreach/decisions/tests/test_load_return.py
+++ b/filbertreach/decisions/tests/test_load_return.py
@@ -218,6 +218,18 @@
     assert pace.share("a", "dc", 30.1) == 1.0
 
 
+def test_state_does_not_grow_with_leaves_and_data_centres_that_are_gone() -> None:
+    # Guards against the memory of a host that runs for months; entries may name any data centre.
+    pace = LoadReturn()
+    for number in range(10_000):
+        name = f"dc-{number // 10}"
+        pace.on_started(f"l{number}", name, number * 1.0, leaves=3)
+        if number % 10 == 0:
+            pace.on_withdrawn(name, number * 1.0)
+    sizes = [len(part) for part in vars(pace).values() if isinstance(part, dict)]
+    assert len(sizes) == 3 and max(sizes) <= 20, sizes
+
+
 def test_without_a_return_no_number_is_drawn() -> None:
     # Guards against decisions that differ from those without the policy.
     def draw() -> float:
--- a/filbertreach/gateway/_directory.py
+++ b/filbertreach/gateway/_directory.py
@@ -363,6 +363,8 @@
         old = self._data_centre_by_leaf.pop(leaf_id, None)
         if old is not None:
             self._leaf_count_by_data_centre[old] -= 1
+            if not self._leaf_count_by_data_centre[old]:
+                del self._leaf_count_by_data_centre[old]
         if data_centre is not None:
             self._data_centre_by_leaf[leaf_id] = data_centre
             self._leaf_count_by_data_centre[data_centre] += 1
