--- a/filbertreach/gateway/tests/test_load_return.py
+++ b/filbertreach/gateway/tests/test_load_return.py
@@ -113,6 +113,18 @@
     assert host.chosen() == data_centre
 
 
+def test_the_share_of_starts_is_that_of_the_listed_leaves_of_the_data_centre() -> None:
+    # Guards against a count that leaves which are gone, or moved, keep too high.
+    host = _Host()
+    assert host.directory._leaf_count_by_data_centre == {"minho-1": 3, "minho-2": 2}
+    host.restart(0)
+    host.directory.on_change("servers/leaf-1", None, 0.0)
+    host.directory.on_change("servers/leaf-1", None, 0.0)
+    assert host.directory._leaf_count_by_data_centre == {"minho-1": 2, "minho-2": 2}
+    host.directory.on_listing(StoredListing({_item(3).key: _item(3)}, 2), 0.0)
+    assert host.directory._leaf_count_by_data_centre.items() == {"minho-2": 1}.items()
+
+
 def test_the_limit_of_a_cold_leaf_sets_the_pace() -> None:
     # Guards against a leaf that gets even less than the limit that it states.
     host = _Host()
@@ -128,6 +140,22 @@
     assert _Host().chosen() == "minho-1"
 
 
+def test_without_a_return_a_choice_does_not_look_at_the_pace_of_leaves(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against work for each leaf in each choice, of which a query makes about a hundred.
+    def fail(self: LoadReturn, leaves: object, now: float) -> frozenset[str]:
+        raise AssertionError("the pace was asked for")
+
+    monkeypatch.setattr(LoadReturn, "withheld", fail)
+    host = _Host()
+    assert host.chosen() == "minho-1"
+    host.evacuate()
+    host.evacuate(withdrawn=True)
+    host.clock.advance(RETURN_SECONDS)
+    assert host.chosen() == "minho-1"
+
+
 def test_the_policy_switches_it_on(tmp_path: pathlib.Path) -> None:
     path = tmp_path / "policy.ini"
     path.write_text("[load_return]\nenabled = true\n")
