Leaf observations: calls to a replaced process are not reported

After a leaf had restarted, calls to its former process that were lost or timed out were reported under the id of the new one, which two such calls listed as failing for 2 s. Outcomes are recorded only for the handle that is in use.

test_calls_to_a_replaced_process_are_not_reported failed without the check.

--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -552,7 +552,8 @@
         now = self._clock.now()
         seconds = now - exchange.started_at
         handle.tracker.record_finish(outcome, seconds, now)
-        if self._observed is not None:
+        # A call to a replaced process says nothing of the one that has its id now.
+        if self._observed is not None and self.handle_by_id.get(handle.leaf.id) is handle:
             self._observed.record(
                 handle, outcome, seconds, now, sent=exchange.sent, latencies=latencies
             )
--- a/filbertreach/gateway/tests/test_observed_leaves.py
+++ b/filbertreach/gateway/tests/test_observed_leaves.py
@@ -249,3 +249,23 @@
     assert host.choose() == "a"
     host.observe("slow", "a")
     assert host.choose() == "far"
+
+
+def test_calls_to_a_replaced_process_are_not_reported() -> None:
+    # Guards against a new process that is listed as failing, as calls to the one before time out.
+    host = _Host(FakeClock(start=100.0), leaf_ids="ab")
+    before = host.pool.handle_by_id["a"]
+    host.list_leaf("a", born=2)
+    after = host.pool.handle_by_id["a"]
+    for handle, is_reported in ((before, False), (after, True)):
+        exchange = Exchange(
+            request_id="r",
+            method="GET",
+            encode=lambda: b"",
+            on_result=lambda exchange, result: None,
+            started_at=host.clock.now(),
+        )
+        exchange.sent = True
+        handle.tracker.record_start(exchange.started_at)
+        host.pool.record_finish(handle, exchange, LeafOutcome.CONNECTION_LOST)
+        assert host.observations.observer.has_news is is_reported
