Leaf observations: an id of more than 255 characters ends no gateway

The merging host decoded its own reports like those of others, so a leaf id longer than a message may carry ended its reporting task and with it the process. Other hosts had their reports rejected, and excluded each merging host in turn. Own observations are merged without a message, and a report leaves such ids out.

test_a_leaf_id_that_is_too_long_is_left_out failed before, with the ValueError that ended the task.

--- a/filbertreach/leaf_observations/_messages.py
+++ b/filbertreach/leaf_observations/_messages.py
@@ -15,7 +15,7 @@
 def encode_reports(
     host: str, observation_by_leaf: Mapping[str, Observation], now: float
 ) -> LeafReports:
-    """Returns the report of a host.
+    """Returns the report of a host, without leaves whose ids are too long for a message.
 
     Args:
         host: Name of the host.
@@ -33,6 +33,8 @@
                 age_seconds=round(max(0.0, now - observation.at), 4),
             )
             for leaf_id, observation in observation_by_leaf.items()
+            # A receiver rejects the whole report because of one such id.
+            if len(leaf_id) <= _MAX_NAME_CHARACTERS
         ],
     )
 
--- a/filbertreach/leaf_observations/_sharing.py
+++ b/filbertreach/leaf_observations/_sharing.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import math
+from collections.abc import Mapping
 from types import TracebackType
 from typing import Protocol, Self
 
@@ -23,6 +24,7 @@
     encode_states,
 )
 from filbertreach.leaf_observations._metrics import OBSERVED_LEAVES
+from filbertreach.leaf_observations._observer import Observation
 from filbertreach.leaf_observations._pauses import TICK_SECONDS
 from filbertreach.leaf_observations._states import EXCEPTION_KINDS
 from filbertreach.observability import get_logger
@@ -138,7 +140,7 @@
         now = self._clock.now()
         if self._local.pauses.was_paused_since(now - REQUEST_TIMEOUT_SECONDS, now):
             raise ObservationError("this process was paused")
-        self._record(reports["host"], reports, now)
+        self._record(reports["host"], decode_reports(reports, now), now)
 
     async def states_since(self, after: int, *, wait_seconds: float) -> MergedLeafStates:
         """Returns the states that this host has merged.
@@ -160,8 +162,10 @@
             waited_seconds=now - arrived_at,
         )
 
-    def _record(self, host: str, reports: LeafReports, now: float) -> None:
-        self._board.record(host, decode_reports(reports, now), now)
+    def _record(
+        self, host: str, observation_by_leaf: Mapping[str, Observation], now: float
+    ) -> None:
+        self._board.record(host, observation_by_leaf, now)
         if now - self._board_updated_at >= TICK_SECONDS:
             self._update_board(now)
 
@@ -231,11 +235,11 @@
             return
         for _ in range(_MAX_TRIES):
             now = self._clock.now()
-            reports = encode_reports(self._host, observation_by_leaf, now)
             merging_host = self._merging_host
             if merging_host is None:
-                self._record(self._host, reports, now)
+                self._record(self._host, observation_by_leaf, now)
                 return
+            reports = encode_reports(self._host, observation_by_leaf, now)
             try:
                 await self._client.report(merging_host["address"], reports)
             except ObservationError as error:
--- a/filbertreach/leaf_observations/tests/test_sharing.py
+++ b/filbertreach/leaf_observations/tests/test_sharing.py
@@ -165,3 +165,22 @@
     item["age_seconds"] = -5.0
     with pytest.raises(ValueError, match="age"):
         decode_states(states, asked_at=100.0, now=103.0)
+
+
+def test_a_leaf_id_that_is_too_long_is_left_out() -> None:
+    # Guards against a merging gateway that ends, and reports that all hosts reject.
+    async def run() -> None:
+        gateways = _gateways()
+        async with contextlib.AsyncExitStack() as stack:
+            for gateway in gateways:
+                await stack.enter_async_context(gateway.run())
+            for gateway in gateways[:2]:
+                now = SystemClock().now()
+                gateway.local.observer.record(
+                    "x" * 300, LeafOutcome.ERROR, 0.001, now, usual_seconds=0.01
+                )
+                gateway.observe(LeafOutcome.ERROR)
+            await _wait_until(lambda: all(g.knows() for g in gateways), 1.6)
+            assert not any(g.hosts.excluded for g in gateways)
+
+    anyio.run(run)
