Leaf observations: an overload does not fill the merging host

Under an overload each host observes most leaves. A host that reported more often than it should made a word grow without bound.

The board keeps at most 10,000 words and 16 observations of each, and updates take at most 3% of the time.

test_an_overload_does_not_exhaust_the_memory and test_updates_take_a_small_part_of_the_time (67 updates in 2 s instead of at most 4) failed without the bounds.

--- a/filbertreach/leaf_observations/_board.py
+++ b/filbertreach/leaf_observations/_board.py
@@ -39,6 +39,11 @@
 intervals would send a message to all hosts for each observation."""
 _MAX_LEAVES = 2000
 """Leaves with observations; those of further leaves are ignored."""
+_MAX_WORDS = 10_000
+"""Words of hosts about leaves; further ones are ignored. Under an overload each host observes most
+leaves, and the words of 57 hosts about 1,000 leaves took 23 MB and 0.11 s at each update."""
+_MAX_OBSERVATIONS_OF_WORD = 16
+"""Newest observations of a word that are kept; a host reports at most 8 times in 2 s."""
 _MAX_REVISION = 2**48
 """Revisions begin at a random number, so that a host that has followed another board, or this one
 before a restart, does not take its revision for this one's."""
@@ -84,9 +89,9 @@
 class ObservationBoard:
     """Merges the observations of the hosts of a data centre; without I/O.
 
-    A leaf is listed once two hosts observe an exception within 2 s, or one host in three calls. More
-    than two hosts are needed while single hosts observe exceptions at many leaves. The
-    word of one host counts only until another host has had a good answer, and only for some leaves.
+    A leaf is listed once two hosts observe an exception within 2 s, or one host in three calls;
+    more than two are needed while single hosts observe exceptions at many leaves. The word of one
+    host counts only until another host has had a good answer, and only for some leaves.
     """
 
     def __init__(
@@ -110,6 +115,7 @@
         self._leaf_count = leaf_count
         self._words_by_leaf: dict[str, dict[str, _Word]] = {}
         """Words of the hosts, by leaf id and host."""
+        self._word_count = 0
         self._distrusted_until_by_host: dict[str, float] = {}
         self._one_host_since_by_leaf: dict[str, float] = {}
         """Clock since which a leaf is listed by the word of one host."""
@@ -131,15 +137,19 @@
             at = min(observation.at, now)
             if now - at >= STATE_SECONDS:
                 continue
-            words = self._words_by_leaf.get(leaf_id)
-            if words is None:
-                if len(self._words_by_leaf) >= _MAX_LEAVES:
+            words = self._words_by_leaf.get(leaf_id, {})
+            known = words.get(host)
+            if known is None:
+                if self._word_count >= _MAX_WORDS:
+                    continue
+                if not words and len(self._words_by_leaf) >= _MAX_LEAVES:
                     continue
-                words = self._words_by_leaf[leaf_id] = {}
+                self._words_by_leaf[leaf_id] = words
+                self._word_count += 1
             entry = (at, max(1, observation.calls))
-            known = words.get(host)
             if known is not None and known.kind == observation.kind and known.at <= at:
                 recent = [(t, n) for t, n in known.calls_by_time if now - t < STATE_SECONDS]
+                recent = recent[1 - _MAX_OBSERVATIONS_OF_WORD :]
                 words[host] = _Word(observation.kind, observation.factor, (*recent, entry))
             elif known is None or known.at <= at:
                 words[host] = _Word(observation.kind, observation.factor, (entry,))
@@ -182,6 +192,7 @@
             for host, word in list(words.items()):
                 if now - word.at >= STATE_SECONDS:
                     del words[host]
+                    self._word_count -= 1
                 elif now - word.first_at >= STATE_SECONDS:
                     recent = tuple((t, n) for t, n in word.calls_by_time if now - t < STATE_SECONDS)
                     words[host] = word._replace(calls_by_time=recent)
--- a/filbertreach/leaf_observations/_sharing.py
+++ b/filbertreach/leaf_observations/_sharing.py
@@ -38,6 +38,11 @@
 by hosts that have nothing to report."""
 _MIN_POLL_INTERVAL_SECONDS = 0.25
 """Shortest time between an answer and the next poll, because many hosts poll one."""
+_MIN_UPDATE_SECONDS = 0.05
+"""Shortest time between two updates of the board; less than a tick, which must not be missed."""
+_MAX_UPDATE_SHARE = 0.03
+"""Fraction of the time that updates of the board may take. Under an overload, when most hosts
+observe most leaves, one took up to 24 ms."""
 _HOST_CHECK_SECONDS = 1.0
 """Interval at which the choice of the merging host and the number of hosts are updated."""
 _MAX_TRIES = 3
@@ -88,7 +93,7 @@
         self._timers = timers
         self._clock = timers.clock
         self._board = ObservationBoard(leaf_count=local.states.count_answered)
-        self._board_updated_at = -math.inf
+        self._board_due_at = -math.inf
         self._board_changed = anyio.Event()
         self._log = StateChangeLog()
         self._client = ObservationClient()
@@ -166,13 +171,16 @@
         self, host: str, observation_by_leaf: Mapping[str, Observation], now: float
     ) -> None:
         self._board.record(host, observation_by_leaf, now)
-        if now - self._board_updated_at >= TICK_SECONDS:
-            self._update_board(now)
+        self._update_board(now)
 
     def _update_board(self, now: float) -> None:
-        self._board_updated_at = now
+        """Updates the board, unless it was updated a short time ago."""
+        if now < self._board_due_at:
+            return
         revision, was_general = self._board.revision, self._board.is_general
         changes = self._board.update(now)
+        taken_seconds = self._clock.now() - now
+        self._board_due_at = now + max(_MIN_UPDATE_SECONDS, taken_seconds / _MAX_UPDATE_SHARE)
         if self._board.is_general and not was_general:
             _LOGGER.warning("too many leaves observed as failing or slow, so none is listed")
         self._log.record(changes, now, is_general=self._board.is_general)
--- a/filbertreach/leaf_observations/tests/test_board.py
+++ b/filbertreach/leaf_observations/tests/test_board.py
@@ -226,3 +226,22 @@
     for host in ("h1", "h2"):
         board.report(host, "failing", "faulty")
     assert board.listed() == {"faulty": "failing"}
+
+
+def test_an_overload_does_not_exhaust_the_memory() -> None:
+    # Guards against words of all hosts about all leaves, and against a host that reports too often.
+    board = _Board(leaves=1000)
+    for host in range(57):
+        for number in range(1000):
+            board.report(f"h{host}", "slow", f"leaf-{number}", factor=3.0)
+    words = board.board._words_by_leaf
+    assert sum(map(len, words.values())) == 10_000
+    for _ in range(1000):
+        board.report("h0", "slow", "leaf-0", factor=3.0)
+    assert len(words["leaf-0"]["h0"].calls_by_time) == 16
+    board.now += 2.0
+    assert board.listed() == {}
+    assert board.board.is_empty
+    board.report("h1", "failing")
+    board.report("h2", "failing")
+    assert board.listed() == {"a": "failing"}
--- a/filbertreach/leaf_observations/tests/test_sharing.py
+++ b/filbertreach/leaf_observations/tests/test_sharing.py
@@ -11,10 +11,11 @@
 from filbertreach.gateway._neighbour_application import neighbour_application
 from filbertreach.gateway._neighbours import Neighbours
 from filbertreach.leaf_observations import HostObservations, SharedObservations
+from filbertreach.leaf_observations._board import StateChange
 from filbertreach.leaf_observations._messages import decode_states
 from filbertreach.observability import Application, HttpServer, Receive, Scope, Send
-from filbertreach.schema import KnownHost, MergedLeafState, MergedLeafStates
-from filbertreach.timing import SystemClock, TimerService
+from filbertreach.schema import KnownHost, LeafReports, MergedLeafState, MergedLeafStates
+from filbertreach.timing import FakeClock, SystemClock, TimerService
 from filbertreach_standins.ports import free_address
 
 
@@ -184,3 +185,29 @@
             assert not any(g.hosts.excluded for g in gateways)
 
     anyio.run(run)
+
+
+def test_updates_take_a_small_part_of_the_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a merging host that is busy with reports of all hosts about all leaves.
+    async def run() -> None:
+        clock = FakeClock(start=100.0)
+        local = HostObservations(clock=clock)
+        async with TimerService(clock=clock) as timers:
+            observations = SharedObservations(
+                host="h0", local=local, hosts=_Hosts([]), timers=timers
+            )
+            updated_at: list[float] = []
+
+            def update(now: float) -> list[StateChange]:
+                updated_at.append(now)
+                clock.advance(0.02)
+                return []
+
+            monkeypatch.setattr(observations._board, "update", update)
+            for _ in range(200):
+                clock.advance(0.01)
+                local.pauses.tick(clock.now())
+                observations.on_reports(LeafReports(host="h1", observations=[]))
+        assert 2 <= len(updated_at) <= 4
+
+    anyio.run(run)
