--- a/filbertreach/decisions/_observed_slowness.py
+++ b/filbertreach/decisions/_observed_slowness.py
@@ -6,6 +6,8 @@
 class ObservedSlowness:
     """A factor on the time of calls to one leaf that ends by itself."""
 
+    __slots__ = ("_factor", "_until")
+
     def __init__(self) -> None:
         """Creates the slowness of a leaf that is not observed as slow."""
         self._factor = 1.0
