Leaf observations: the merging host answers at most 150 polls a second

While states keep changing, each host polled four times a second, so 127 hosts sent 500 requests a second to one gateway that serves callers too. The time between polls now grows with the number of hosts: 0.85 s for 127. A host that was not answered still asks the next one after 0.25 s.

--- a/filbertreach/leaf_observations/_sharing.py
+++ b/filbertreach/leaf_observations/_sharing.py
@@ -37,12 +37,15 @@
 """Wait of a poll while no state changes. A merging host that is paused is noticed after this time
 by hosts that have nothing to report."""
 _MIN_POLL_INTERVAL_SECONDS = 0.25
-"""Shortest time between an answer and the next poll, because many hosts poll one."""
+"""Shortest time between an answer and the next poll."""
 _MIN_UPDATE_SECONDS = 0.05
 """Shortest time between two updates of the board; less than a tick, which must not be missed."""
 _MAX_UPDATE_SHARE = 0.03
 """Fraction of the time that updates of the board may take. Under an overload, when most hosts
 observe most leaves, one took up to 24 ms."""
+_MAX_POLLS_PER_SECOND = 150
+"""Answers that the merging host gives in a second while states keep changing. At the shortest
+interval, 127 hosts would ask it 500 times a second."""
 _HOST_CHECK_SECONDS = 1.0
 """Interval at which the choice of the merging host and the number of hosts are updated."""
 _MAX_TRIES = 3
@@ -51,6 +54,15 @@
 _LOGGER = get_logger(__name__)
 
 
+def poll_interval_seconds(host_count: int) -> float:
+    """Returns the time between an answer and the next poll, in seconds.
+
+    Args:
+        host_count: Number of hosts that poll the same one.
+    """
+    return max(_MIN_POLL_INTERVAL_SECONDS, host_count / _MAX_POLLS_PER_SECOND)
+
+
 class ObservationHosts(Protocol):
     """Knowledge of the other hosts, from which a gateway chooses the one that merges."""
 
@@ -273,7 +285,9 @@
             if merging_host != followed:
                 followed, revision = merging_host, 0
             revision = await self._follow(merging_host, revision)
-            await anyio.sleep(_MIN_POLL_INTERVAL_SECONDS)
+            # The next host is asked soon if this one did not answer.
+            hosts = self._local.host_count if revision else 1
+            await anyio.sleep(poll_interval_seconds(hosts))
 
     async def _follow(self, merging_host: KnownHost, revision: int) -> int:
         """Polls the states once and applies them.
--- a/filbertreach/leaf_observations/tests/test_sharing.py
+++ b/filbertreach/leaf_observations/tests/test_sharing.py
@@ -10,7 +10,7 @@
 from filbertreach.gateway._change_log import ChangeLog
 from filbertreach.gateway._neighbour_application import neighbour_application
 from filbertreach.gateway._neighbours import Neighbours
-from filbertreach.leaf_observations import HostObservations, SharedObservations
+from filbertreach.leaf_observations import HostObservations, Observation, SharedObservations
 from filbertreach.leaf_observations._board import StateChange
 from filbertreach.leaf_observations._messages import decode_states
 from filbertreach.observability import Application, HttpServer, Receive, Scope, Send
@@ -25,6 +25,8 @@
     def __init__(self, others: list[KnownHost]) -> None:
         self.others = others
         self.excluded: list[str] = []
+        self.extra: list[str] = []
+        """Names of further hosts, which send nothing."""
 
     def observation_host(self) -> KnownHost | None:
         usable = [host for host in self.others if host["name"] not in self.excluded]
@@ -34,7 +36,7 @@
         self.excluded.append(name)
 
     def local_host_names(self) -> list[str]:
-        return [host["name"] for host in self.others] + ["itself"]
+        return [host["name"] for host in self.others] + ["itself", *self.extra]
 
 
 class _Gateway:
@@ -57,6 +59,7 @@
                 hosts=self.hosts,
                 timers=timers,
             )
+            self.observations = observations
             neighbours = Neighbours(
                 host=self._name,
                 address=self._address,
@@ -211,3 +214,24 @@
         assert 2 <= len(updated_at) <= 4
 
     anyio.run(run)
+
+
+def test_hosts_poll_less_often_if_there_are_many() -> None:
+    # Guards against a merging host that only answers polls while states keep changing.
+    async def run() -> None:
+        gateways = _gateways()
+        gateways[0].hosts.extra = ["other"] * 300
+        gateways[1].hosts.extra = ["other"] * 300
+        async with contextlib.AsyncExitStack() as stack:
+            for gateway in gateways[:2]:
+                await stack.enter_async_context(gateway.run())
+            await _wait_until(lambda: gateways[1].local.host_count > 300, 2.0)
+            gateways[0].requests.clear()
+            for _ in range(15):
+                for name in ("h2", "h3"):
+                    observation = {"a": Observation("failing", 1, 1.0, SystemClock().now())}
+                    gateways[0].observations._record(name, observation, SystemClock().now())
+                await anyio.sleep(0.2)
+            assert 1 <= len(gateways[0].requests) <= 2
+
+    anyio.run(run)
