--- a/filbertreach/leaf_observations/_board.py
+++ b/filbertreach/leaf_observations/_board.py
@@ -24,7 +24,7 @@
 none. In a model of 127 hosts, 25 queries a second and 180 healthy leaves with exponential times,
 two hosts listed 12 leaves a second by chance, and with this rule 0.3 are listed."""
 _ONE_HOST_FRACTION = 0.1
-"""Largest fraction of the leaves that count as exceptions by the word of one host each."""
+"""Largest fraction of the leaves that count as exceptions by the report of one host each."""
 _MAX_LISTED_FRACTION = 1.0 / 3.0
 """Fraction of the leaves beyond which none is listed: all are busy, or the network fails. In a
 model of a sudden overload, all leaves were listed, and a single one got all calls of its service
@@ -39,17 +39,17 @@
 intervals would send a message to all hosts for each observation."""
 _MAX_LEAVES = 2000
 """Leaves with observations; those of further leaves are ignored."""
-_MAX_WORDS = 10_000
-"""Words of hosts about leaves; further ones are ignored. Under an overload each host observes most
-leaves, and the words of 57 hosts about 1,000 leaves took 23 MB and 0.11 s at each update."""
-_MAX_OBSERVATIONS_OF_WORD = 16
-"""Newest observations of a word that are kept; a host reports at most 8 times in 2 s."""
+_MAX_HOST_REPORTS = 10_000
+"""Reports of hosts about leaves; further ones are ignored. Under an overload each host observes
+most leaves, and the reports of 57 hosts about 1,000 leaves took 23 MB and 0.11 s at each update."""
+_MAX_OBSERVATIONS_OF_REPORT = 16
+"""Newest observations of a report that are kept; a host reports at most 8 times in 2 s."""
 _MAX_REVISION = 2**48
 """Revisions begin at a random number, so that a host that has followed another board, or this one
 before a restart, does not take its revision for this one's."""
 
 
-class _Word(NamedTuple):
+class _HostReport(NamedTuple):
     """What one host says of one leaf."""
 
     kind: ObservationKind
@@ -90,7 +90,7 @@
     """Merges the observations of the hosts of a data centre; without I/O.
 
     A leaf is listed once two hosts observe an exception within 2 s, or one host in three calls;
-    more than two are needed while single hosts observe exceptions at many leaves. The word of one
+    more than two are needed while single hosts observe exceptions at many leaves. The report of one
     host counts only until another host has had a good answer, and only for some leaves.
     """
 
@@ -113,17 +113,17 @@
         self.is_general = False
         """Whether so many leaves are observed as failing or slow that none is listed."""
         self._leaf_count = leaf_count
-        self._words_by_leaf: dict[str, dict[str, _Word]] = {}
-        """Words of the hosts, by leaf id and host."""
-        self._word_count = 0
+        self._reports_by_leaf: dict[str, dict[str, _HostReport]] = {}
+        """Reports of the hosts, by leaf id and host."""
+        self._report_count = 0
         self._distrusted_until_by_host: dict[str, float] = {}
         self._one_host_since_by_leaf: dict[str, float] = {}
-        """Clock since which a leaf is listed by the word of one host."""
+        """Clock since which a leaf is listed by the report of one host."""
 
     @property
     def is_empty(self) -> bool:
         """Whether no observation counts."""
-        return not self._words_by_leaf and not self.state_by_leaf
+        return not self._reports_by_leaf and not self.state_by_leaf
 
     def record(self, host: str, observation_by_leaf: Mapping[str, Observation], now: float) -> None:
         """Records a report; `update` applies it.
@@ -137,22 +137,22 @@
             at = min(observation.at, now)
             if now - at >= STATE_SECONDS:
                 continue
-            words = self._words_by_leaf.get(leaf_id, {})
-            known = words.get(host)
+            reports = self._reports_by_leaf.get(leaf_id, {})
+            known = reports.get(host)
             if known is None:
-                if self._word_count >= _MAX_WORDS:
+                if self._report_count >= _MAX_HOST_REPORTS:
                     continue
-                if not words and len(self._words_by_leaf) >= _MAX_LEAVES:
+                if not reports and len(self._reports_by_leaf) >= _MAX_LEAVES:
                     continue
-                self._words_by_leaf[leaf_id] = words
-                self._word_count += 1
+                self._reports_by_leaf[leaf_id] = reports
+                self._report_count += 1
             entry = (at, max(1, observation.calls))
             if known is not None and known.kind == observation.kind and known.at <= at:
                 recent = [(t, n) for t, n in known.calls_by_time if now - t < STATE_SECONDS]
-                recent = recent[1 - _MAX_OBSERVATIONS_OF_WORD :]
-                words[host] = _Word(observation.kind, observation.factor, (*recent, entry))
+                recent = recent[1 - _MAX_OBSERVATIONS_OF_REPORT :]
+                reports[host] = _HostReport(observation.kind, observation.factor, (*recent, entry))
             elif known is None or known.at <= at:
-                words[host] = _Word(observation.kind, observation.factor, (entry,))
+                reports[host] = _HostReport(observation.kind, observation.factor, (entry,))
 
     def update(self, now: float) -> list[StateChange]:
         """Merges the observations, and publishes states that have changed.
@@ -188,16 +188,18 @@
         return changes
 
     def _remove_expired(self, now: float) -> None:
-        for leaf_id, words in list(self._words_by_leaf.items()):
-            for host, word in list(words.items()):
-                if now - word.at >= STATE_SECONDS:
-                    del words[host]
-                    self._word_count -= 1
-                elif now - word.first_at >= STATE_SECONDS:
-                    recent = tuple((t, n) for t, n in word.calls_by_time if now - t < STATE_SECONDS)
-                    words[host] = word._replace(calls_by_time=recent)
-            if not words:
-                del self._words_by_leaf[leaf_id]
+        for leaf_id, reports in list(self._reports_by_leaf.items()):
+            for host, report in list(reports.items()):
+                if now - report.at >= STATE_SECONDS:
+                    del reports[host]
+                    self._report_count -= 1
+                elif now - report.first_at >= STATE_SECONDS:
+                    recent = tuple(
+                        (t, n) for t, n in report.calls_by_time if now - t < STATE_SECONDS
+                    )
+                    reports[host] = report._replace(calls_by_time=recent)
+            if not reports:
+                del self._reports_by_leaf[leaf_id]
         for host, until in list(self._distrusted_until_by_host.items()):
             if now >= until:
                 del self._distrusted_until_by_host[host]
@@ -206,24 +208,24 @@
         merged: dict[str, LeafState] = {}
         of_one_host: dict[str, LeafState] = {}
         min_hosts = self._min_hosts()
-        for leaf_id, words in self._words_by_leaf.items():
-            exceptions = {host: w for host, w in words.items() if w.kind != "healthy"}
-            healthy = [w for w in words.values() if w.kind == "healthy"]
+        for leaf_id, reports in self._reports_by_leaf.items():
+            exceptions = {host: r for host, r in reports.items() if r.kind != "healthy"}
+            healthy = [r for r in reports.values() if r.kind == "healthy"]
             if len(exceptions) >= min_hosts:
-                newest_at = max(word.at for word in exceptions.values())
-                if sum(word.at > newest_at for word in healthy) < _MIN_HOSTS:
-                    merged[leaf_id] = _merge_words(list(exceptions.values()))
+                newest_at = max(report.at for report in exceptions.values())
+                if sum(report.at > newest_at for report in healthy) < _MIN_HOSTS:
+                    merged[leaf_id] = _merge_reports(list(exceptions.values()))
             elif exceptions:
                 believed = [
-                    word
-                    for host, word in exceptions.items()
+                    report
+                    for host, report in exceptions.items()
                     if self._is_believed_alone(
-                        host, word, healthy, now, is_only=len(exceptions) == 1
+                        host, report, healthy, now, is_only=len(exceptions) == 1
                     )
                 ]
                 if believed:
-                    of_one_host[leaf_id] = _merge_words(believed)
-        merged.update(self._limit_words_of_one_host(of_one_host, now))
+                    of_one_host[leaf_id] = _merge_reports(believed)
+        merged.update(self._limit_reports_of_one_host(of_one_host, now))
         most = max(_MIN_LISTED, int(_MAX_LISTED_FRACTION * self._leaf_count()))
         self.is_general = len(merged) > most
         return {} if self.is_general else merged
@@ -238,31 +240,37 @@
         """
         observed_count = 0
         count_by_host: collections.Counter[str] = collections.Counter()
-        for words in self._words_by_leaf.values():
-            hosts = [host for host, word in words.items() if word.kind != "healthy"]
+        for reports in self._reports_by_leaf.values():
+            hosts = [host for host, report in reports.items() if report.kind != "healthy"]
             observed_count += bool(hosts)
             if len(hosts) == 1:
                 count_by_host[hosts[0]] += 1
         # One faulty host must not raise the number.
         single_count = count_by_host.total() - max(count_by_host.values(), default=0)
-        leaf_count = max(self._leaf_count(), len(self._words_by_leaf))
+        leaf_count = max(self._leaf_count(), len(self._reports_by_leaf))
         by_chance = single_count / max(1, leaf_count - observed_count)
         return int(_MIN_HOSTS + by_chance + _CHANCE_DEVIATIONS * math.sqrt(by_chance))
 
     def _is_believed_alone(
-        self, host: str, word: _Word, healthy: list[_Word], now: float, *, is_only: bool
+        self,
+        host: str,
+        report: _HostReport,
+        healthy: list[_HostReport],
+        now: float,
+        *,
+        is_only: bool,
     ) -> bool:
-        contradictions = [other.at for other in healthy if other.at > word.first_at]
-        if is_only and any(at < word.at for at in contradictions):
+        contradictions = [other.at for other in healthy if other.at > report.first_at]
+        if is_only and any(at < report.at for at in contradictions):
             # Only this host observes the exception: it or its link is at fault.
             self._distrusted_until_by_host[host] = now + _DISTRUST_SECONDS
         return (
             not contradictions
-            and word.calls >= _MIN_CALLS_OF_ONE_HOST
+            and report.calls >= _MIN_CALLS_OF_ONE_HOST
             and host not in self._distrusted_until_by_host
         )
 
-    def _limit_words_of_one_host(
+    def _limit_reports_of_one_host(
         self, states: dict[str, LeafState], now: float
     ) -> dict[str, LeafState]:
         """Returns as many of these states as may count, those that were listed first."""
@@ -275,16 +283,16 @@
         return {leaf_id: states[leaf_id] for leaf_id in listed}
 
 
-def _merge_words(words: list[_Word]) -> LeafState:
-    """Returns the state that words of exceptions show together."""
-    confirmed_at = max(word.at for word in words)
-    slow = sorted(word.factor for word in words if word.kind == "slow")
-    failing_count = len(words) - len(slow)
+def _merge_reports(reports: list[_HostReport]) -> LeafState:
+    """Returns the state that reports of exceptions show together."""
+    confirmed_at = max(report.at for report in reports)
+    slow = sorted(report.factor for report in reports if report.kind == "slow")
+    failing_count = len(reports) - len(slow)
     if not slow or failing_count >= _MIN_HOSTS:
-        return LeafState("failing", 1.0, confirmed_at, len(words))
+        return LeafState("failing", 1.0, confirmed_at, len(reports))
     factor = slow[(len(slow) - 1) // 2]
     factor = min(max(factor, MIN_FACTOR), MAX_FACTOR)
-    return LeafState("slow", factor, confirmed_at, len(words))
+    return LeafState("slow", factor, confirmed_at, len(reports))
 
 
 def _kind(state: LeafState | None) -> str | None:
--- a/filbertreach/leaf_observations/tests/test_board.py
+++ b/filbertreach/leaf_observations/tests/test_board.py
@@ -56,7 +56,7 @@
     board.report("h1", "failing")
     board.now += 0.4
     assert board.listed() == {"a": "failing"}
-    # The word of the second host has expired, and that of the first alone is not enough.
+    # The report of the second host has expired, and that of the first alone is not enough.
     board.now += 0.2
     assert board.listed() == {}
     board.now += 2.0
@@ -229,16 +229,16 @@
 
 
 def test_an_overload_does_not_exhaust_the_memory() -> None:
-    # Guards against words of all hosts about all leaves, and against a host that reports too often.
+    # Guards against reports of all hosts about all leaves, and a host that reports too often.
     board = _Board(leaves=1000)
     for host in range(57):
         for number in range(1000):
             board.report(f"h{host}", "slow", f"leaf-{number}", factor=3.0)
-    words = board.board._words_by_leaf
-    assert sum(map(len, words.values())) == 10_000
+    reports = board.board._reports_by_leaf
+    assert sum(map(len, reports.values())) == 10_000
     for _ in range(1000):
         board.report("h0", "slow", "leaf-0", factor=3.0)
-    assert len(words["leaf-0"]["h0"].calls_by_time) == 16
+    assert len(reports["leaf-0"]["h0"].calls_by_time) == 16
     board.now += 2.0
     assert board.listed() == {}
     assert board.board.is_empty
