Quotas: a delegation counts only from a host that is known

What callers saw: nothing yet. A neighbour that invents names of hosts made each name count as a host of the data centre for 600 s, and its part of all quotas shrank by as much.

Cause: on_delegation added each name to the known hosts, without a bound.

Change: the delegation of a host that no seed and no other quota host has named is not used until one does. Its part is granted by nobody meanwhile, so the sum of the parts stays at most 1.

Tests: both of test_quota_parts.py were seen to fail without the check. filbertreach/quotas (with the fleet model and its partitions) and tests/test_gateway_quotas.py passed.

--- a/filbertreach/quotas/_parts.py
+++ b/filbertreach/quotas/_parts.py
@@ -89,6 +89,9 @@
     def on_delegation(self, host: str, *, delegated_after: float, now: float) -> None:
         """Records that a gateway has delegated its part.
 
+        That of a host which neither a seed nor another quota host has named is not used: a faulty
+        neighbour may invent names, and each name that counts lessens the parts of all hosts.
+
         Args:
             host: The gateway.
             delegated_after: Clock of this host before the gateway delegated, in seconds. The
@@ -99,6 +102,8 @@
             return
         if now - self._started_at < LOAN_SECONDS:
             return  # The former process of this host may have lent what it held.
+        if host not in self._seen_at_by_host:
+            return
         valid_until = delegated_after + DELEGATION_SECONDS
         self._valid_until_by_host[host] = max(
             valid_until, self._valid_until_by_host.get(host, -math.inf)
