Quotas: the page of accounts looks at each reported demand once

What callers saw: nothing yet. At the design size, a look of an operator at /v1/accounts held up the quota host for 0.66 s, longer than the 0.15 s for which gateways wait for it, so they would refuse requests and change the quota host.

Cause: total_demand looked for each of 100,000 accounts at all 20 peers.

Change: one pass over the own meters and one over what each peer reports. Measured with 100,000 accounts and 20 peers of 500 accounts: 0.66 s before, 0.07 s after, processor time of one run each beside other work.

Tests: those of test_quota_shares.py, which compare the page, pass as before; the cost has no test.

--- a/filbertreach/quotas/_ledger.py
+++ b/filbertreach/quotas/_ledger.py
@@ -217,14 +217,18 @@
         Args:
             now: Current clock, in seconds.
         """
-        accounts = set(self._meter_by_account)
+        total_by_account = {
+            account: meter.per_second(now) for account, meter in self._meter_by_account.items()
+        }
         for peer in self._peers.by_sender.values():
-            accounts.update(peer.demand)
+            if peer.is_expired(now):
+                continue
+            for account, per_second in peer.demand.items():
+                total_by_account[account] = total_by_account.get(account, 0.0) + per_second
         return {
             account: per_second
-            for account in accounts
-            if account in self.quota_by_account
-            and (per_second := sum(self.demand_by_data_centre(account, now).values())) > 0.0
+            for account, per_second in total_by_account.items()
+            if account in self.quota_by_account and per_second > 0.0
         }
 
     def on_peer_demand(self, peers: QuotaPeers, now: float) -> None:
