Decisions: account shares admit at least a quarter of the requests within quotas

What callers saw: nothing yet. While traffic that shares do not limit (accounts without a quota, other data centres) kept leaves above 1 call per slot, accounts within their quotas were refused more and more, in the end all of them.

Cause: the capacity follows the mean of what was admitted, lowered while the pressure is high. If refusals do not end the pressure, it shrinks towards 0.

Change: the capacity is at least 0.25 of the requests that the quotas allow.

Tests: test_pressure_of_other_traffic_does_not_stop_all_accounts was seen to fail without the bound. The flood models of test_account_shares.py pass.

--- a/filbertreach/decisions/_account_shares.py
+++ b/filbertreach/decisions/_account_shares.py
@@ -31,6 +31,9 @@
 increase. With 0.3, other accounts lost up to 2% of their requests while queues drained."""
 _LEAST_FACTOR = 0.6
 """Smallest factor by which it is decreased. With 0.8, queues of calls of 250 ms never drained."""
+_LEAST_ADMITTED = 0.25
+"""Fraction of the requests within quotas that is admitted at least. Traffic of accounts without a
+quota or of other data centres may keep the pressure high, whatever is refused here."""
 _MAX_PRESSURE = 8.0
 """Calls per slot above which a pressure counts as this one; it may be wrong."""
 
@@ -169,6 +172,7 @@
         """Pressure that hosts report."""
         self._is_applied = False
         self._fair_share = FairShare(settings=_SETTINGS)
+        self._offered = _MeanRate()
         self._admitted = _MeanRate()
         self._updated_at = -math.inf
 
@@ -193,6 +197,7 @@
             if is_applied and decision is ShareDecision.THROTTLED:
                 continue
             allowed += 1
+        self._offered.add(count, now)
         self._admitted.add(allowed, now)
         return allowed
 
@@ -224,10 +229,11 @@
         empty.
         """
         self._updated_at = now
-        admitted = self._admitted.per_second(now)
-        if admitted is None:
+        offered, admitted = self._offered.per_second(now), self._admitted.per_second(now)
+        if offered is None or admitted is None:
             return
         factor = max(_LEAST_FACTOR, 1.0 - _CORRECTION * (pressure - _PRESSURE_LIMIT))
-        self._fair_share.limit_to(factor * admitted, now)
+        capacity = max(factor * admitted, _LEAST_ADMITTED * offered)
+        self._fair_share.limit_to(capacity, now)
         if not self._fair_share.limiting and pressure <= _PRESSURE_LIMIT:
             self._is_applied = False
--- a/filbertreach/decisions/tests/test_account_shares.py
+++ b/filbertreach/decisions/tests/test_account_shares.py
@@ -196,6 +196,21 @@
     assert _allowed(shares, start=7.0, seconds=0.9) == 90
 
 
+def test_pressure_of_other_traffic_does_not_stop_all_accounts() -> None:
+    """Guards against shares that shrink for as long as refusals do not end the pressure."""
+    shares = AccountShares()
+    allowed: collections.Counter[str] = collections.Counter()
+    for step in range(12_000):
+        now = 0.05 * step
+        shares.pressure.record("a", Pressure(3.0, 0.0), now)
+        account = f"account-{step % 5}"
+        granted = shares.allow(account, 1, per_second=8.0, now=now)
+        if now >= 540.0:
+            allowed[account] += granted
+    # Each sends 4 requests per second, half of its quota.
+    assert all(allowed[f"account-{n}"] > 0.2 * 240 for n in range(5))
+
+
 def test_pressure_counts_for_a_second() -> None:
     """Guards against shares that stay in force after the reports have ended."""
     shares = AccountShares()
