Gateway: the pressure of leaves is read four times a second

What callers saw: nothing. With [account_shares], a gateway at the design size spent about 3.7% of a core on the pressure of its leaves; 3.6% is the limit for all control.

Change: a value is reused for 0.25 s, the interval at which shares are updated.

Tests: test_all_leaves_are_read_at_most_four_times_a_second was seen to fail with 0.1 s.

--- a/filbertreach/gateway/_leaf_pressure.py
+++ b/filbertreach/gateway/_leaf_pressure.py
@@ -8,9 +8,9 @@
 from filbertreach.gateway._service_pool import ServicePool
 from filbertreach.timing import Clock
 
-_REFRESH_SECONDS = 0.1
-"""Time for which a value is reused. Under load a gateway asks its quota host far more often, and
-each value reads the state of all leaves."""
+_REFRESH_SECONDS = 0.25
+"""Time for which a value is reused; the interval at which shares are updated. A value takes about
+4 ms of processor time at 6,100 leaves; under load a gateway asks its quota host far more often."""
 
 
 class LeafPressure:
--- a/filbertreach/gateway/tests/test_leaf_pressure.py
+++ b/filbertreach/gateway/tests/test_leaf_pressure.py
@@ -37,6 +37,24 @@
     assert pressure() is None
 
 
+def test_all_leaves_are_read_at_most_four_times_a_second() -> None:
+    """Guards against a gateway that reads thousands of leaves with each message under load."""
+    reads = []
+
+    class _Pools(dict[str, Any]):
+        def values(self) -> Any:
+            reads.append(clock.now())
+            return super().values()
+
+    clock = FakeClock(start=100.0)
+    pools = _Pools(_pools((99.9, 4, 4)))
+    pressure = LeafPressure(pool_by_service=pools, clock=clock)
+    for _ in range(100):
+        pressure()
+        clock.advance(0.01)
+    assert 1 < len(reads) <= 4
+
+
 def test_without_reports_the_pressure_is_unknown() -> None:
     pressure = LeafPressure(pool_by_service=_pools(), clock=FakeClock(start=100.0))
     assert pressure() is None
