Quotas: a quota host accepts at most 2,000 requests in one message

What callers saw: nothing. A faulty neighbour could ask for any number of requests at once. With account shares, the quota host decides about each one separately, and a message for a large quota would hold it up.

Change: a message that wants more than a gateway puts into one exchange is refused with 400, as one with too many accounts is.

Tests: the case "many" of test_malformed_messages_are_refused was seen to fail without the check.

--- a/filbertreach/quotas/_fleet.py
+++ b/filbertreach/quotas/_fleet.py
@@ -38,7 +38,7 @@
 _MAX_GRANT_AGE_SECONDS = 0.25
 """Age of a grant, including the exchange, from which it is not used: the process was paused."""
 _MAX_BATCH_REQUESTS = 2000
-"""Requests of one exchange."""
+"""Requests of one exchange, as a gateway asks for and a quota host accepts."""
 _MAX_RETURNED_ACCOUNTS = 2000
 """Accounts whose credit one exchange returns; that of further ones is returned later."""
 _MAX_REQUESTED_ACCOUNTS = _MAX_BATCH_REQUESTS + _MAX_RETURNED_ACCOUNTS
@@ -100,8 +100,7 @@
             hosts: The other hosts; None if this host decides alone.
             bounds: Bounds of the deployment.
             clock: Source of time; it has to include suspension of the machine.
-            pressure: Source of the pressure of leaves, by which accounts get shares; None to apply
-                no shares.
+            pressure: Source of the pressure of leaves; None to apply no shares of accounts.
         """
         self._host = host
         self._data_centre = data_centre
@@ -341,13 +340,15 @@
             request: What the gateway asks.
 
         Raises:
-            ValueError: The request names too many accounts.
+            ValueError: The request names too many accounts or requests.
             QuotaError: This host has no quotas in force.
         """
         if self._tasks is None:
             raise QuotaError("this host has no quotas in force")
         if len(request["requested"]) + len(request["returned"]) > _MAX_REQUESTED_ACCOUNTS:
             raise ValueError(f"a request names more than {_MAX_REQUESTED_ACCOUNTS} accounts")
+        if sum(request["requested"].values()) > _MAX_BATCH_REQUESTS:
+            raise ValueError(f"a message wants more than {_MAX_BATCH_REQUESTS} requests")
         return self._grants.on_request(request, self._clock.now())
 
     def on_report(self, report: QuotaReport) -> QuotaPeers:
--- a/filbertreach/quotas/tests/test_fleet_quotas.py
+++ b/filbertreach/quotas/tests/test_fleet_quotas.py
@@ -296,11 +296,12 @@
         b"{}",
         b'{"host": "x", "requested": {"acme": -1}, "returned": {}}',
         b'{"host": "x", "requested": {"acme": 1e99}, "returned": {}}',
+        b'{"host": "x", "requested": {"acme": 1999, "other": 2}, "returned": {}}',
         b'{"sender": "x", "data_centre": "y", "number": -1}',
         b"[" * 100_000,
         b" " * (256 * 1024 + 1),
     ],
-    ids=["empty", "object", "negative", "large", "report", "nested", "long"],
+    ids=["empty", "object", "negative", "large", "many", "report", "nested", "long"],
 )
 def test_malformed_messages_are_refused(path: str, body: bytes) -> None:
     """Guards against a faulty neighbour that ends the process or grants itself requests."""
