--- a/filbertreach/gateway/_leaf_handle.py
+++ b/filbertreach/gateway/_leaf_handle.py
@@ -7,7 +7,6 @@
 from filbertreach.decisions import Distance, LeafTracker, SpillCandidate
 from filbertreach.document import Leaf, Pool
 from filbertreach.gateway._cold_bound import ColdBound
-from filbertreach.gateway._idle_connections import position_among_hosts
 from filbertreach.gateway._leaf_connection import LeafConnection
 from filbertreach.gateway._metrics import CONNECTIONS, CONNECTIONS_OPENED
 from filbertreach.gateway._request_limit import RequestLimit
@@ -37,14 +36,12 @@
 
 
 class Location(NamedTuple):
-    """Region and data centre of a host, with its name."""
+    """Region and data centre of a host."""
 
     region: str
     """Region."""
     data_centre: str
     """Data centre."""
-    host: str = ""
-    """Name of the host."""
 
     def distance(self, leaf: Leaf) -> Distance:
         """Returns the distance of a leaf.
@@ -115,9 +112,6 @@
         self.retry_hold = RetryHold(leaf=entry.leaf.id, service=entry.service)
         """Time for which the leaf has asked not to be called."""
         self.unreadable_headers = UnreadableHeaderLog(leaf=entry.leaf.id, service=entry.service)
-        self.keeping_share = 1.0
-        """Share of the hosts that keep an idle connection to the leaf, 0 to 1."""
-        self._position = position_among_hosts(host=location.host, leaf=entry.leaf.id)
         self.usable_until = math.inf
         """Clock until which the leaf may be chosen as a last resort; infinite while it is listed as
         ready."""
@@ -171,14 +165,9 @@
         return connection
 
     def on_idle(self, connection: LeafConnection) -> None:
-        """Adds a connection to the idle ones.
-
-        Closes it if the leaf may not be used any more, or if other hosts keep the idle connections
-        to the leaf.
-        """
+        """Adds a connection to the idle ones, or closes it if the leaf may not be used any more."""
         self._idle.append(connection)
-        is_ended = self.usable_until < math.inf and self._clock.now() >= self.usable_until
-        if is_ended or self._position >= self.keeping_share:
+        if self.usable_until < math.inf and self._clock.now() >= self.usable_until:
             connection.close()
 
     def on_unusable(self, connection: LeafConnection) -> None:
--- a/filbertreach/gateway/_process.py
+++ b/filbertreach/gateway/_process.py
@@ -118,7 +118,7 @@
         observations = HostObservations(clock=self._clock)
         self.directory = Directory(
             clock=self._clock,
-            location=Location(settings.region, settings.data_centre, settings.host),
+            location=Location(settings.region, settings.data_centre),
             region_by_data_centre=settings.region_by_data_centre,
             budget=self._budget,
             drain_seconds=settings.bounds.leaf_drain_seconds,
--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -18,7 +18,6 @@
 )
 from filbertreach.gateway._cold_bound import ColdBound
 from filbertreach.gateway._exchange import Exchange
-from filbertreach.gateway._idle_connections import keeping_share
 from filbertreach.gateway._leaf_connection import LeafConnection
 from filbertreach.gateway._leaf_departures import LeafDepartures
 from filbertreach.gateway._leaf_handle import LeafHandle, Location
@@ -118,8 +117,7 @@
         self._on_idle_closed = on_idle_closed
         self._sent_out_reason: SpillReason | None = None
         """Why the leaf that was chosen last is in another data centre."""
-        self._connections: int | None = None
-        """Connections that each leaf accepts; None if the configuration does not say."""
+        self._connections = _DEFAULT_CONNECTIONS
         self._cold_per_second: float | None = None
         self._cold_bound = cold_bound or ColdBound()
         self._load_return = load_return
@@ -162,11 +160,7 @@
 
     def _update_connection_limits(self) -> None:
         for handle in self.handle_by_id.values():
-            self._set_connection_limits(handle)
-
-    def _set_connection_limits(self, handle: LeafHandle) -> None:
-        handle.max_connections = self._connections_per_host()
-        handle.keeping_share = keeping_share(hosts=self._host_count, connections=self._connections)
+            handle.max_connections = self._connections_per_host()
 
     def update_leaf(self, entry: LeafEntry, *, since: float) -> None:
         """Adds a leaf, or updates it from its entry.
@@ -198,7 +192,6 @@
                 clock=self._clock,
                 on_idle_closed=self._on_idle_closed,
             )
-            self._set_connection_limits(handle)
             handle.request_limit.cold_per_second = self._cold_per_second
             handle.retry_hold = self._hold_by_process.get(entry.process, handle.retry_hold)
             if self._spill_over is not None:
@@ -739,4 +732,4 @@
 
     def _connections_per_host(self) -> int:
         sharing_hosts = max(_MIN_SHARING_HOSTS, self._host_count or 0)
-        return max(1, (self._connections or _DEFAULT_CONNECTIONS) // sharing_hosts)
+        return max(1, self._connections // sharing_hosts)
