--- a/filbertreach/gateway/_policy.py
+++ b/filbertreach/gateway/_policy.py
@@ -26,6 +26,8 @@
     """Whether observations of leaves are shared with the other hosts of the data centre."""
     account_shares: bool = False
     """Whether accounts get fair shares while leaves are under pressure."""
+    retry_handover: bool = False
+    """Whether a host that stops hands its retry histories to others."""
     quarantine: bool = False
     """Whether requests that crash leaves are stopped and refused."""
 
@@ -57,4 +59,5 @@
         leaf_observations=values["leaf_observations"]["enabled"],
         account_shares=values["account_shares"]["enabled"],
         quarantine=values["quarantine"]["enabled"],
+        retry_handover=values["retry_handover"]["enabled"],
     )
--- a/filbertreach/gateway/_process.py
+++ b/filbertreach/gateway/_process.py
@@ -145,8 +145,8 @@
                 clock=self._clock,
             )
         self.handover: RetryHandover | None = None
-        """Keeps the retry histories of hosts that stop, None without neighbours."""
-        if self.neighbours is not None:
+        """Keeps the retry histories of hosts that stop; None if they are not handed over."""
+        if self._policy.retry_handover and self.neighbours is not None:
             self.handover = RetryHandover(
                 host=settings.host, hosts=self.neighbours, budgets=self.directory, clock=self._clock
             )
--- a/filbertreach/schema/_generated_policy.py
+++ b/filbertreach/schema/_generated_policy.py
@@ -61,6 +61,17 @@
     """
 
 
+class RetryHandoverSection(TypedDict):
+    """
+    Counts of retry budgets that survive a graceful restart.
+    """
+
+    enabled: NotRequired[bool]
+    """
+    Whether a gateway that stops hands its retry histories to two others, and asks for them when it starts.
+    """
+
+
 class SpillOverSection(TypedDict):
     """
     Use of leaves in other data centres.
@@ -102,4 +113,5 @@
     caller_reserve: NotRequired[CallerReserveSection]
     leaf_observations: NotRequired[LeafObservationsSection]
     load_return: NotRequired[LoadReturnSection]
+    retry_handover: NotRequired[RetryHandoverSection]
     spill_over: NotRequired[SpillOverSection]
