--- a/filbertreach/gateway/tests/test_retry_history.py
+++ b/filbertreach/gateway/tests/test_retry_history.py
@@ -223,7 +223,7 @@
     settings.update(_BOUNDS)
     return Directory(
         clock=clock,
-        location=Location("minho", "minho-1", "front-1"),
+        location=Location("minho", "minho-1"),
         region_by_data_centre={"minho-1": "minho"},
         budget=settings,
         drain_seconds=3.0,
