Quotas: the pressure of hosts that nobody has named does not count

What callers saw: nothing yet. One faulty neighbour that reports under many names could have requests refused (503) without pressure: its names outvote the hosts of the data centre in the median.

Change: as with delegations, the pressure counts only from hosts that a seed or another quota host has named.

Tests: test_invented_hosts_do_not_apply_shares was seen to fail without the check; test_quota_shares.py, test_quota_parts.py and tests/test_gateway_quotas.py passed.

--- a/filbertreach/quotas/_granting.py
+++ b/filbertreach/quotas/_granting.py
@@ -79,12 +79,15 @@
     def on_pressure(self, host: str, pressure: Pressure | None, now: float) -> None:
         """Records the pressure that a host observes, if it knows one.
 
+        That of a host which nobody else has named does not count: a faulty neighbour may invent
+        names, and so outvote all hosts.
+
         Args:
             host: Name of the host.
             pressure: Load of the leaves that it calls.
             now: Current clock, in seconds.
         """
-        if self.shares is not None and pressure is not None:
+        if self.shares is not None and pressure is not None and self.ledger.parts.is_known(host):
             self.shares.pressure.record(host, pressure, now)
 
     def on_request(self, request: QuotaRequest, now: float) -> QuotaReply:
--- a/filbertreach/quotas/_parts.py
+++ b/filbertreach/quotas/_parts.py
@@ -74,6 +74,14 @@
         """Number of known hosts of the data centre."""
         return len(self._seen_at_by_host)
 
+    def is_known(self, host: str) -> bool:
+        """Returns whether a seed or another quota host has named a host of the data centre lately.
+
+        Args:
+            host: Name of the host.
+        """
+        return host in self._seen_at_by_host
+
     def delegating_hosts(self, now: float) -> list[str]:
         """Returns the hosts that delegate to this host.
 
@@ -102,7 +110,7 @@
             return
         if now - self._started_at < LOAN_SECONDS:
             return  # The former process of this host may have lent what it held.
-        if host not in self._seen_at_by_host:
+        if not self.is_known(host):
             return
         valid_until = delegated_after + DELEGATION_SECONDS
         self._valid_until_by_host[host] = max(
--- a/filbertreach/quotas/tests/test_quota_shares.py
+++ b/filbertreach/quotas/tests/test_quota_shares.py
@@ -227,6 +227,17 @@
     _run(test, has_shares=False)
 
 
+def test_invented_hosts_do_not_apply_shares() -> None:
+    """Guards against one faulty neighbour that has requests refused without pressure."""
+    grants = QuotaGrants(ledger=_ledger(), shares=AccountShares())
+    grants.on_pressure("a", _LOW, 105.0)
+    for n in range(100):
+        grants.on_pressure(f"invented-{n}", _HIGH, 105.0)
+    assert grants.shares is not None
+    assert grants.shares.pressure.at(105.0) == _LOW.calls_per_slot
+    assert not grants.shares.is_applied_at(105.0)
+
+
 async def _ctl(*arguments: str) -> subprocess.CompletedProcess[str]:
     command = [sys.executable, "-m", "filbertreach.ctl", "accounts", *arguments]
 
