--- a/filbertreach/quotas/_fleet.py
+++ b/filbertreach/quotas/_fleet.py
@@ -50,8 +50,7 @@
 _MAX_RETRY_SECONDS = 30.0
 """Longest Retry-After before it is spread, whatever a quota host states."""
 _MAX_RETRY_SPREAD_FACTOR = 2.0
-"""Largest factor by which Retry-After is lengthened at random, so that callers which were refused
-together do not return together."""
+"""Largest random factor on Retry-After, so that callers refused together do not return together."""
 
 _LOGGER = get_logger(__name__)
 
