--- a/filbertreach/decisions/_caller_reserve.py
+++ b/filbertreach/decisions/_caller_reserve.py
@@ -19,8 +19,8 @@
 _DELAY_QUANTILE = 0.9
 """Quantile that is reserved of the delay of the event loop and of the time to finish an answer."""
 _MAX_FINISH_SECONDS = 0.05
-"""Longest time to finish an answer that counts. A longer one is due to a caller that takes no bytes,
-which says nothing about the answers to others."""
+"""Longest time to finish an answer that counts. A longer one is due to a caller that takes no
+bytes, which says nothing about the answers to others."""
 _HEADER_BYTES = 300
 """Bytes of the headers of a part, including those of TCP and IP."""
 _DEFAULT_PART_BYTES = 650.0
