--- a/filbertreach/gateway/_directory.py
+++ b/filbertreach/gateway/_directory.py
@@ -1,25 +1,32 @@
 """Routing state of the gateway: the routes in force and the leaves of each service."""
 
+import collections
+import math
 import random
 from collections.abc import Callable
 
 from returns.result import Failure, Success
 
 from filbertreach.decisions import (
+    RETURN_SECONDS,
     AdmissionWindow,
     CrossingCosts,
     DataCentreStatistics,
     LateShardLatencies,
+    LoadReturn,
     make_spill_policy,
 )
 from filbertreach.document import Route, RouteTable
-from filbertreach.gateway._leaf_handle import Location
+from filbertreach.gateway._cold_bound import ColdBound
+from filbertreach.gateway._leaf_handle import LeafHandle, Location
 from filbertreach.gateway._metrics import ROUTES_VERSION
+from filbertreach.gateway._observed_leaves import ObservedLeaves
 from filbertreach.gateway._request_turns import TurnSchedule
-from filbertreach.gateway._retry_budget import RetryBudgetSettings
+from filbertreach.gateway._retry_budget import BudgetHistory, RetryBudgetSettings
 from filbertreach.gateway._route_latencies import RouteLatencies
 from filbertreach.gateway._service_pool import ServicePool, Spawn
 from filbertreach.gateway._spill_over_log import SpillOverLog
+from filbertreach.leaf_observations import HostObservations
 from filbertreach.observability import get_logger
 from filbertreach.platform import (
     EVACUATIONS_PREFIX,
@@ -69,6 +76,10 @@
         on_change: Callable[[], None],
         admission: bool = False,
         spill_over: CrossingCosts | None = None,
+        cold_bound: ColdBound | None = None,
+        load_return: LoadReturn | None = None,
+        observations: HostObservations | None = None,
+        on_idle_closed: Callable[[LeafHandle], None] | None = None,
     ) -> None:
         """Creates an empty directory.
 
@@ -83,6 +94,10 @@
             admission: Whether calls wait for a leaf with a place for their rank.
             spill_over: Costs by which load decides what is sent to other data centres; None to
                 prefer near leaves by fixed penalties.
+            cold_bound: What a cold leaf tolerates; None for the usual bound.
+            load_return: Paces the return of load to leaves; None to use them in full at once.
+            observations: Observations of leaves that hosts share; None to share none.
+            on_idle_closed: Called when a leaf has closed a connection without a request.
         """
         self.table: RouteTable | None = None
         """Routes in force, None before the first configuration; the version never decreases."""
@@ -101,10 +116,19 @@
         self._on_change = on_change
         self._admission = admission
         self._spill_over = spill_over
+        self._cold_bound = cold_bound
+        self._load_return = load_return
+        self._observations = observations
+        self._on_idle_closed = on_idle_closed
         self._data_centre_statistics = DataCentreStatistics()
         self._spill_over_log = SpillOverLog()
         self._host_count: int | None = None
+        self._history_by_service: dict[str, BudgetHistory] = {}
+        """Retry histories of the last process for services that are not known yet."""
         self._service_by_leaf: dict[str, str] = {}
+        self._data_centre_by_leaf: dict[str, str] = {}
+        self._leaf_count_by_data_centre: collections.Counter[str] = collections.Counter()
+        """Listed leaves of each data centre; a count for each start of a leaf takes too long."""
         self._statistics_by_route: dict[str, RouteStatistics] = {}
         self._configured_services: set[str] = set()
         """Services that the routes in force name."""
@@ -153,8 +177,13 @@
                 data_centre=data_centre,
                 known=data_centre in self._region_by_data_centre,
             )
+            if self._load_return is not None:
+                self._load_return.on_evacuated(data_centre)
         for data_centre in sorted(self.evacuated_data_centres - evacuated):
             _LOGGER.info("data centre in use again", data_centre=data_centre)
+            if self._load_return is not None:
+                self._load_return.on_withdrawn(data_centre, self._clock.now())
+                _LOGGER.info("load returns", data_centre=data_centre, seconds=RETURN_SECONDS)
         # Changed in place, as the pools hold the same set.
         self.evacuated_data_centres.clear()
         self.evacuated_data_centres.update(evacuated)
@@ -249,12 +278,43 @@
                     name="marginal_cost", costs=costs, statistics=self._data_centre_statistics
                 ),
                 spill_over_log=None if costs is None else self._spill_over_log,
+                cold_bound=self._cold_bound,
+                load_return=self._load_return,
+                observed=None
+                if self._observations is None
+                else ObservedLeaves(observations=self._observations),
+                on_idle_closed=self._on_idle_closed,
             )
             if self._host_count is not None:
                 pool.set_host_count(self._host_count)
+            history = self._history_by_service.pop(service, None)
+            if history is not None:
+                pool.budget.restore(history, self._clock.now())
             self.pool_by_service[service] = pool
         return pool
 
+    # Retry budgets.
+
+    def retry_histories(self) -> dict[str, BudgetHistory]:
+        """Returns what the next process of this host has to know of the retry budgets."""
+        now = self._clock.now()
+        history_by_service = {
+            service: pool.budget.history(now) for service, pool in self.pool_by_service.items()
+        }
+        return {service: item for service, item in history_by_service.items() if item is not None}
+
+    def restore_retry_histories(self, history_by_service: dict[str, BudgetHistory]) -> None:
+        """Continues with the retry budgets of the last process of this host.
+
+        Args:
+            history_by_service: Histories; those of services that are not known yet apply later.
+        """
+        now = self._clock.now()
+        self._history_by_service = dict(history_by_service)
+        for service in history_by_service.keys() & self.pool_by_service.keys():
+            history = self._history_by_service.pop(service)
+            self.pool_by_service[service].budget.restore(history, now)
+
     # Leaves.
 
     def _apply_leaf_change(self, key: str, item: StoredItem | None, since: float) -> None:
@@ -302,16 +362,52 @@
         if old_service is not None and old_service != entry.service:
             self.pool(old_service).unlist_leaf(leaf_id, since=since)
         self._service_by_leaf[leaf_id] = entry.service
-        self.pool(entry.service).update_leaf(entry, since=since)
+        self._set_data_centre(leaf_id, entry.leaf.data_centre)
+        pool = self.pool(entry.service)
+        old_handle = pool.handle_by_id.get(leaf_id)
+        was_in_use = old_handle is not None and old_handle.usable_until == math.inf
+        pool.update_leaf(entry, since=since)
+        handle = pool.handle_by_id[leaf_id]
+        if handle.usable_until == math.inf and not (was_in_use and handle is old_handle):
+            self._on_leaf_started(entry)
         if self.leaves_listed:
             _LOGGER.info("leaf listed", leaf=leaf_id, service=entry.service, leaving=entry.leaving)
 
+    def _on_leaf_started(self, entry: LeafEntry) -> None:
+        """Paces the return of load if many leaves of a data centre come into use together."""
+        # The first listing shows leaves that have been in use.
+        if self._load_return is None or not self.leaves_listed:
+            return
+        data_centre = entry.leaf.data_centre
+        count = self._load_return.on_started(
+            entry.leaf.id,
+            data_centre,
+            self._clock.now(),
+            leaves=self._leaf_count_by_data_centre[data_centre],
+        )
+        if count:
+            _LOGGER.info(
+                "load returns", data_centre=data_centre, leaves=count, seconds=RETURN_SECONDS
+            )
+
     def _unlist_leaf(self, leaf_id: str, reason: str, since: float) -> None:
         service = self._service_by_leaf.pop(leaf_id, None)
+        self._set_data_centre(leaf_id, None)
         if service is not None:
             self.pool(service).unlist_leaf(leaf_id, since=since)
             _LOGGER.info("leaf unlisted", leaf=leaf_id, service=service, reason=reason)
 
+    def _set_data_centre(self, leaf_id: str, data_centre: str | None) -> None:
+        """Records the data centre of a listed leaf; None if it is no longer listed."""
+        old = self._data_centre_by_leaf.pop(leaf_id, None)
+        if old is not None:
+            self._leaf_count_by_data_centre[old] -= 1
+            if not self._leaf_count_by_data_centre[old]:
+                del self._leaf_count_by_data_centre[old]
+        if data_centre is not None:
+            self._data_centre_by_leaf[leaf_id] = data_centre
+            self._leaf_count_by_data_centre[data_centre] += 1
+
     def count_leaves(self) -> int:
         """Returns the number of listed leaves, including those that are leaving."""
         return len(self._service_by_leaf)
--- a/filbertreach/gateway/_discovery.py
+++ b/filbertreach/gateway/_discovery.py
@@ -13,6 +13,7 @@
 from filbertreach.observability import get_logger
 from filbertreach.platform import (
     ALL_KEYS,
+    Bounds,
     DeploymentStore,
     HistoryLostError,
     PlatformError,
@@ -23,7 +24,7 @@
 from filbertreach.schema import KnownHost, StoreNews
 from filbertreach.timing import Clock
 
-_WATCH_SECONDS = 1.5
+WATCH_SECONDS = 1.5
 """Wait of a watch. A silent connection is detected after this time and the timeout of the call, and
 neighbours rely on regular confirmations from the reader. It is also the largest uncertainty of the
 time at which a leaf began to leave."""
@@ -41,6 +42,10 @@
 _POLL_SECONDS = 2.0
 """Longest wait for changes from the reader, which confirms its data at least as often."""
 _MIN_POLL_SECONDS = 0.1
+_MIN_READER_SHARING_SECONDS = 4.5
+"""Smallest bound on configuration, draining and evacuation with which one host of a data centre
+reads the store for the others. A silent reader is detected after 2.4 s, and a call to the store has
+to fit into the rest of the bound."""
 _RETRY_SECONDS = 0.25
 _MAX_RETRY_SECONDS = 1.0
 _MAX_SHARED_RETRY_SECONDS = 2.0
@@ -97,6 +102,7 @@
         clock: Clock,
         host: str,
         neighbours: ChangeSource | None = None,
+        watch_seconds: float = WATCH_SECONDS,
         sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
     ) -> None:
         """Creates a follower; `run` starts it.
@@ -110,6 +116,7 @@
             clock: Source of time.
             host: Name of this host.
             neighbours: Hosts that may read the store for this one; None if each host reads it.
+            watch_seconds: Longest wait of a watch of this host, in seconds.
             sleep: Sleeps for a number of seconds.
         """
         self._store = store
@@ -119,6 +126,7 @@
         self._clock = clock
         self._host = host
         self._neighbours = neighbours
+        self._watch_seconds = watch_seconds
         self._sleep = sleep
         self._started_at = clock.now()
         self._failure_count = 0
@@ -164,7 +172,7 @@
                     pass
         else:
             kind = "watch" if is_reader else "catch up"
-            wait_seconds = _WATCH_SECONDS if is_reader else _CATCH_UP_SECONDS
+            wait_seconds = self._watch_seconds if is_reader else _CATCH_UP_SECONDS
             match await self._store.watch(ALL_KEYS, after=revision, wait_seconds=wait_seconds):
                 case Success(batch):
                     self._may_have_missed = len(batch.changes) >= _FULL_BATCH
@@ -245,3 +253,15 @@
         if name != self._logged_source:
             self._logged_source = name
             _LOGGER.info("store followed", through=name or "itself")
+
+
+def may_share_reader(bounds: Bounds) -> bool:
+    """Returns whether the bounds leave time to detect a reader whose data is stale.
+
+    Args:
+        bounds: Bounds of the deployment.
+    """
+    shortest = min(bounds.leaf_drain_seconds, bounds.routes_seconds, bounds.evacuate_seconds)
+    if bounds.strict_revoke:
+        shortest = min(shortest, bounds.revoke_seconds)
+    return shortest >= _MIN_READER_SHARING_SECONDS
--- a/filbertreach/gateway/_leaf_handle.py
+++ b/filbertreach/gateway/_leaf_handle.py
@@ -1,10 +1,12 @@
 """A leaf as this host sees it: its entry, observed state, request limit and connections."""
 
 import math
+from collections.abc import Callable
 from typing import NamedTuple
 
 from filbertreach.decisions import Distance, LeafTracker, SpillCandidate
 from filbertreach.document import Leaf, Pool
+from filbertreach.gateway._cold_bound import ColdBound
 from filbertreach.gateway._leaf_connection import LeafConnection
 from filbertreach.gateway._metrics import CONNECTIONS, CONNECTIONS_OPENED
 from filbertreach.gateway._request_limit import RequestLimit
@@ -71,7 +73,9 @@
         connections: int,
         hosts: int | None,
         schedule: TurnSchedule,
+        cold_bound: ColdBound,
         clock: Clock,
+        on_idle_closed: Callable[["LeafHandle"], None] | None = None,
     ) -> None:
         """Creates a handle without connections.
 
@@ -81,7 +85,9 @@
             connections: Largest number of connections that this host may open.
             hosts: Number of hosts that call the leaf, this one included; None if unknown.
             schedule: Turns in which this host calls leaves that limit their requests.
+            cold_bound: What the leaf tolerates while it is cold.
             clock: Source of time.
+            on_idle_closed: Called when the leaf has closed a connection without a request.
         """
         self.entry = entry
         self.max_connections = connections
@@ -97,7 +103,11 @@
         )
         """The leaf as a candidate of the spill-over policy."""
         self.request_limit = RequestLimit(
-            leaf=entry.leaf.id, service=entry.service, hosts=hosts, schedule=schedule
+            leaf=entry.leaf.id,
+            service=entry.service,
+            hosts=hosts,
+            schedule=schedule,
+            cold_bound=cold_bound,
         )
         self.retry_hold = RetryHold(leaf=entry.leaf.id, service=entry.service)
         """Time for which the leaf has asked not to be called."""
@@ -106,6 +116,7 @@
         """Clock until which the leaf may be chosen as a last resort; infinite while it is listed as
         ready."""
         self._clock = clock
+        self._on_idle_closed = on_idle_closed
         self._idle: list[LeafConnection] = []
         self._usable: set[LeafConnection] = set()
         """Connections that are being opened, carry a request or are idle; not those that are being
@@ -165,6 +176,11 @@
         if connection in self._idle:
             self._idle.remove(connection)
 
+    def on_idle_closed(self) -> None:
+        """Reports that the leaf has closed a connection without a request."""
+        if self._on_idle_closed is not None:
+            self._on_idle_closed(self)
+
     def on_closed(self, connection: LeafConnection) -> None:
         """Removes a closed connection."""
         self._usable.discard(connection)
--- a/filbertreach/gateway/_neighbours.py
+++ b/filbertreach/gateway/_neighbours.py
@@ -120,6 +120,7 @@
         self._quota_excluded_until_by_name: dict[str, float] = {}
         """Hosts that do not answer about quotas may still read the store, so they are kept apart
         from hosts that are excluded as reader."""
+        self._observation_excluded_until_by_name: dict[str, float] = {}
         self._channel_by_address: dict[str, HttpChannel] = {}
 
     async def __aenter__(self) -> Self:
@@ -218,6 +219,16 @@
         """
         return self._first_candidate(self._quota_excluded_until_by_name)
 
+    def candidates(self, count: int) -> list[KnownHost]:
+        """Returns other hosts of this data centre, in the order in which they are tried as reader.
+
+        Args:
+            count: Largest number of hosts.
+        """
+        now = self._clock.now()
+        own = self._own["name"]
+        return [host for host in self._ordered_hosts(now) if host["name"] != own][:count]
+
     def exclude_quota_host(self, name: str) -> None:
         """Excludes a host from the choice of the quota host for some seconds.
 
@@ -226,10 +237,42 @@
         """
         self._quota_excluded_until_by_name[name] = self._clock.now() + _EXCLUSION_SECONDS
 
+    def observation_host(self) -> KnownHost | None:
+        """Returns the neighbour that merges observations of leaves, None if this host does.
+
+        It is the first candidate for the reader that answers about them.
+        """
+        return self._first_candidate(self._observation_excluded_until_by_name)
+
+    def exclude_observation_host(self, name: str) -> None:
+        """Excludes a host from the choice of the one that merges observations for some seconds.
+
+        Args:
+            name: Name of the host.
+        """
+        self._observation_excluded_until_by_name[name] = self._clock.now() + _EXCLUSION_SECONDS
+
     def local_host_names(self) -> list[str]:
         """Returns the names of the live hosts of this data centre, this one included."""
         return [host["name"] for host in self._local_hosts(self._clock.now())]
 
+    def local_addresses(self) -> list[str]:
+        """Returns the addresses of the other live hosts of this data centre."""
+        own = self._own["name"]
+        local = self._local_hosts(self._clock.now())
+        return [host["address"] for host in local if host["name"] != own]
+
+    def seed_addresses(self) -> list[str]:
+        """Returns the addresses of the seeds besides this host."""
+        return list(self._seeds)
+
+    def address_by_data_centre(self) -> dict[str, str]:
+        """Returns the address of one known host, drawn at random, of each other data centre."""
+        hosts = self._live_hosts(self._clock.now())
+        random.shuffle(hosts)
+        own = self._own["data_centre"]
+        return {h["data_centre"]: h["address"] for h in hosts if h["data_centre"] != own}
+
     def is_seed_heard(self) -> bool:
         """Returns whether a seed has answered, or there is none besides this host."""
         return bool(self._reply_by_seed) or not self._seeds
@@ -238,11 +281,15 @@
         own = self._own["data_centre"]
         return [host for host in self._live_hosts(now) if host["data_centre"] == own]
 
+    def _ordered_hosts(self, now: float) -> list[KnownHost]:
+        """Returns the hosts of this data centre in an order that is the same at all of them."""
+        local = self._local_hosts(now)
+        return sorted(local, key=lambda h: (zlib.crc32(h["name"].encode()), h["name"]))
+
     def _first_candidate(self, excluded_until_by_name: dict[str, float]) -> KnownHost | None:
         """Returns the first host of this data centre that is not excluded, None for this one."""
         now = self._clock.now()
-        local = self._local_hosts(now)
-        for host in sorted(local, key=lambda h: (zlib.crc32(h["name"].encode()), h["name"])):
+        for host in self._ordered_hosts(now):
             if excluded_until_by_name.get(host["name"], now) > now:
                 continue
             return None if host["name"] == self._own["name"] else host
--- a/filbertreach/gateway/_process.py
+++ b/filbertreach/gateway/_process.py
@@ -1,6 +1,7 @@
 """The gateway process: startup, request handling and shutdown."""
 
 import contextlib
+import math
 from collections.abc import Callable, Coroutine
 from types import TracebackType
 from typing import Any, NamedTuple, Self
@@ -8,30 +9,34 @@
 import anyio
 import anyio.abc
 
-from filbertreach.decisions import CallerReserve
+from filbertreach.decisions import LoadReturn, RequestArrival
 from filbertreach.document import ClientAccount, Route, RouteTable
 from filbertreach.gateway._change_log import ChangeLog
+from filbertreach.gateway._cold_bound import ColdBound
 from filbertreach.gateway._directory import Directory
-from filbertreach.gateway._discovery import StoreFollower
+from filbertreach.gateway._discovery import WATCH_SECONDS, StoreFollower, may_share_reader
+from filbertreach.gateway._key_revocation import KeyRevocation, refuse_stale_keys
 from filbertreach.gateway._leaf_handle import Location
-from filbertreach.gateway._loop_probe import LoopProbe
+from filbertreach.gateway._leaf_pressure import LeafPressure
 from filbertreach.gateway._metrics import (
     CALLERS_LEFT,
     FLEET_SIZE,
     LEAVES,
     LIMITED_LEAVES,
-    MISSING_SHARDS,
-    REQUEST_SECONDS,
-    REQUESTS,
     REQUESTS_IN_PROGRESS,
 )
 from filbertreach.gateway._neighbours import Neighbours
 from filbertreach.gateway._policy import GatewayPolicy
+from filbertreach.gateway._quarantine_gate import QuarantineGate
 from filbertreach.gateway._query import Query, QueryResult
+from filbertreach.gateway._quota_refusal import refuse_quota
+from filbertreach.gateway._request_log import log_request, record_request
 from filbertreach.gateway._retry_budget import RetryBudgetSettings
+from filbertreach.gateway._retry_handover import RetryHandover
+from filbertreach.gateway._return_path import ReturnPath
+from filbertreach.leaf_observations import HostObservations, SharedObservations
 from filbertreach.observability import Health, get_logger
 from filbertreach.platform import (
-    Bounds,
     CallerAnswer,
     CallerRequest,
     DeploymentStore,
@@ -39,6 +44,7 @@
     attach_account,
     refuse,
 )
+from filbertreach.quarantine import FleetQuarantine, RequestGuard
 from filbertreach.quotas import FleetQuotas, QuotaBounds, QuotaDecision
 from filbertreach.timing import TimerService
 
@@ -46,10 +52,6 @@
 """Timeout of a call to the store, which normally answers within milliseconds."""
 _MAINTENANCE_SECONDS = 1.0
 """Interval at which expired leaves are removed and the number of hosts is updated."""
-_MIN_READER_SHARING_SECONDS = 4.5
-"""Smallest bound on configuration, draining and evacuation with which one host of a data centre
-reads the store for the others. A silent reader is detected after 2.4 s, and a call to the store has
-to fit into the rest of the bound."""
 _DEFAULT_MAX_BODY_BYTES = 262144
 _NOT_READY_RETRY_SECONDS = 0.5
 _OUTCOMES_NOT_RUN = frozenset({"not_run", "limited", "overloaded"})
@@ -71,6 +73,15 @@
     """The decision that granted the request; None if the account has no quota."""
 
 
+class HandledRequest(NamedTuple):
+    """A request that was served or refused."""
+
+    answer: CallerAnswer
+    """Answer to the caller."""
+    decided_at: float = math.inf
+    """Clock when its query stopped waiting for leaves, in seconds; infinite without a query."""
+
+
 class GatewayProcess:
     """Holds the routing state of one host and serves the requests of its callers."""
 
@@ -104,6 +115,7 @@
         )
         self._budget = RetryBudgetSettings()
         self._budget.update(settings.bounds)
+        observations = HostObservations(clock=self._clock)
         self.directory = Directory(
             clock=self._clock,
             location=Location(settings.region, settings.data_centre),
@@ -114,9 +126,14 @@
             on_change=self._update_health,
             admission=self._policy.admission,
             spill_over=self._policy.spill_over,
+            cold_bound=ColdBound(settings.bounds.cold_overrun, settings.bounds.cold_slack),
+            load_return=LoadReturn() if self._policy.load_return else None,
+            observations=observations if self._policy.leaf_observations else None,
+            on_idle_closed=lambda handle: self._gate.on_idle_closed(handle),
         )
         self.change_log = ChangeLog(clock=self._clock)
         """Changes of the store that this host has applied, for its neighbours."""
+        self._revocation = KeyRevocation(bounds=settings.bounds)
         self.neighbours: Neighbours | None = None
         """Gateways on other hosts, None if the settings have no neighbour address."""
         if settings.neighbour_address is not None:
@@ -127,6 +144,27 @@
                 seeds=settings.seed_addresses,
                 clock=self._clock,
             )
+        self.handover: RetryHandover | None = None
+        """Keeps the retry histories of hosts that stop; None if they are not handed over."""
+        if self._policy.retry_handover and self.neighbours is not None:
+            self.handover = RetryHandover(
+                host=settings.host, hosts=self.neighbours, budgets=self.directory, clock=self._clock
+            )
+        self.observations: SharedObservations | None = None
+        """Shares observations of leaves; None if this host shares none."""
+        if self._policy.leaf_observations and self.neighbours is not None:
+            self.observations = SharedObservations(
+                host=settings.host,
+                local=observations,
+                hosts=self.neighbours,
+                timers=timers,
+            )
+        self._gate = QuarantineGate(
+            enabled=self._policy.quarantine,
+            settings=settings,
+            neighbours=self.neighbours,
+            clock=self._clock,
+        )
         self.quotas = FleetQuotas(
             host=settings.host,
             data_centre=settings.data_centre,
@@ -135,19 +173,19 @@
             hosts=self.neighbours,
             bounds=_quota_bounds(settings),
             clock=self._clock,
+            pressure=LeafPressure(pool_by_service=self.directory.pool_by_service, clock=self._clock)
+            if self._policy.account_shares
+            else None,
         )
         """Grants requests of client accounts with a quota."""
         self._in_progress = 0
-        self._reserve: CallerReserve | None = None
-        """Reserve of the objectives; None for the constant one."""
-        self._loop_probe: LoopProbe | None = None
-        if self._policy.admission:
-            self._reserve = CallerReserve(
-                link_bytes_per_second=settings.link_bytes_per_second, cores=settings.cores
-            )
-            self._loop_probe = LoopProbe(
-                reserve=self._reserve, timers=timers, in_progress=lambda: self._in_progress
-            )
+        self._return_path = ReturnPath(
+            enabled=self._policy.caller_reserve,
+            link_bytes_per_second=settings.link_bytes_per_second,
+            cores=settings.cores,
+            timers=timers,
+            in_progress=lambda: self._in_progress,
+        )
 
     async def __aenter__(self) -> Self:
         """Starts to follow the store; the process is ready once it has routes and leaves."""
@@ -155,6 +193,8 @@
         await self._stack.enter_async_context(self._store)
         self._group = await self._stack.enter_async_context(anyio.create_task_group())
         await self._stack.enter_async_context(self.quotas)
+        if self._gate.quarantine is not None:
+            await self._stack.enter_async_context(self._gate.quarantine)
         follower = StoreFollower(
             store=self._store,
             clock=self._clock,
@@ -162,11 +202,17 @@
             on_change=self.directory.on_change,
             change_log=self.change_log,
             host=self._settings.host,
-            neighbours=self.neighbours if _may_share_reader(self._settings.bounds) else None,
+            watch_seconds=self._revocation.watch_seconds(WATCH_SECONDS),
+            neighbours=self.neighbours if may_share_reader(self._settings.bounds) else None,
         )
         if self.neighbours is not None:
             await self._stack.enter_async_context(self.neighbours)
             self._group.start_soon(self.neighbours.run)
+        if self.handover is not None:
+            await self._stack.enter_async_context(self.handover)
+            self._group.start_soon(self.handover.run)
+        if self.observations is not None:
+            await self._stack.enter_async_context(self.observations)
         self._group.start_soon(follower.run)
         self._timers.subscribe(
             name="tidy", interval_seconds=_MAINTENANCE_SECONDS, callback=self._run_maintenance
@@ -188,6 +234,11 @@
         self._group.cancel_scope.cancel()
         return await self._stack.__aexit__(kind, error, trace)
 
+    @property
+    def quarantine(self) -> FleetQuarantine | None:
+        """Requests that crash leaves; None if their quarantine is not enabled."""
+        return self._gate.quarantine
+
     @property
     def max_body_bytes(self) -> int:
         """Largest accepted request body, in bytes."""
@@ -200,20 +251,22 @@
         return self._in_progress
 
     async def handle(
-        self, request: CallerRequest, *, is_first_on_connection: bool = False
-    ) -> CallerAnswer:
+        self, request: CallerRequest, *, arrival: RequestArrival | None = None
+    ) -> HandledRequest:
         """Serves a request; the ASGI application cancels this call when the caller disconnects.
 
         Args:
             request: The request.
-            is_first_on_connection: Whether the caller opened the connection for the request.
+            arrival: How the request reached this host; None if unknown.
 
         Returns:
-            The answer to the caller.
+            The answer to the caller, to be reported by `record_sent` once it was sent.
         """
         table = self.directory.table
         if table is None or not self.directory.leaves_listed:
-            return refuse(503, "no configuration yet", retry_after_seconds=_NOT_READY_RETRY_SECONDS)
+            return HandledRequest(
+                refuse(503, "no configuration yet", retry_after_seconds=_NOT_READY_RETRY_SECONDS)
+            )
         route = table.find(request.host, request.path)
         if route is None:
             _LOGGER.info(
@@ -224,17 +277,30 @@
                 path=request.path,
                 version=table.version,
             )
-            return refuse(404, "no route")
-        arrived_at = self._clock.now()
+            return HandledRequest(refuse(404, "no route"))
+        arrived_at = self._return_path.arrived_at(arrival)
         access = await self._check_access(request, route, table)
         if isinstance(access, CallerAnswer):
-            return access
-        query = self._make_query(access, arrived_at, is_first_on_connection)
+            return HandledRequest(access)
+        guard = self._gate.admit(access.request, access.route, access.account, table.version)
+        if isinstance(guard, CallerAnswer):
+            if access.decision is not None:
+                self.quotas.release(access.decision)
+            return HandledRequest(guard)
+        query = self._make_query(access, arrived_at, arrival, guard)
         result = await self._run_query(query, access.decision, arrived_at, table.version)
         seconds = self._clock.now() - arrived_at
-        self._record_metrics(query, result, seconds)
-        self._log_request(query, result, access.account, table.version, seconds)
-        return result.answer
+        record_request(query, result, seconds)
+        log_request(query, result, access.account, table.version, seconds)
+        return HandledRequest(result.answer, query.decided_at)
+
+    def record_sent(self, handled: HandledRequest) -> None:
+        """Records that an answer was given to the network.
+
+        Args:
+            handled: Result of `handle`.
+        """
+        self._return_path.on_answer_sent(handled.decided_at)
 
     async def _check_access(
         self, request: CallerRequest, route: Route, table: RouteTable
@@ -246,6 +312,8 @@
         """
         if table.accounts is None:
             return _Access(request, route)
+        if request.api_key_digest and not self._revocation.may_accept(self.change_log.age_seconds):
+            return refuse_stale_keys(request, route.name, table.version)
         account = table.accounts.find(request.api_key_digest)
         if account is None and not route.public:
             _LOGGER.info(
@@ -265,11 +333,15 @@
         if account.quota is not None:
             decision = await self.quotas.acquire(account.name)
             if not decision.is_granted:
-                return _refuse_quota(decision, request, route, account, table.version)
+                return refuse_quota(decision, request, route, account, table.version)
         return _Access(request, route, account, decision)
 
     def _make_query(
-        self, access: _Access, arrived_at: float, is_first_on_connection: bool
+        self,
+        access: _Access,
+        arrived_at: float,
+        arrival: RequestArrival | None,
+        guard: RequestGuard | None,
     ) -> Query:
         route = access.route
         statistics = self.directory.statistics(route)
@@ -281,9 +353,10 @@
             late_shard_latencies=statistics.late_shard_latencies,
             clock=self._clock,
             arrived_at=arrived_at,
-            reserve=self._reserve,
+            reserve=self._return_path.reserve,
             window=statistics.window(route.priority) if self._policy.admission else None,
-            is_first_on_connection=is_first_on_connection,
+            arrival=arrival,
+            guard=guard,
         )
 
     async def _run_query(
@@ -291,8 +364,7 @@
     ) -> QueryResult:
         """Runs a query; returns the credit of its quota if no leaf has run it."""
         self._in_progress += 1
-        if self._loop_probe is not None:
-            self._loop_probe.start()
+        self._return_path.on_query()
         try:
             result = await query.run()
         except BaseException:
@@ -312,53 +384,11 @@
             raise
         finally:
             self._in_progress -= 1
+            self._gate.release(query.guard)
         if decision is not None and result.outcome in _OUTCOMES_NOT_RUN:
             self.quotas.release(decision)
         return result
 
-    def _record_metrics(self, query: Query, result: QueryResult, seconds: float) -> None:
-        kind = "scatter" if query.route.shards else "single"
-        REQUESTS.labels(kind, result.outcome, str(result.answer.status)).inc()
-        REQUEST_SECONDS.labels(kind).observe(seconds)
-        if result.answer.status == 200 and query.route.shards:
-            MISSING_SHARDS.inc(len(result.calls) - result.included)
-
-    def _log_request(
-        self,
-        query: Query,
-        result: QueryResult,
-        account: ClientAccount | None,
-        version: int,
-        seconds: float,
-    ) -> None:
-        _LOGGER.info(
-            "request",
-            kind="request ok" if result.outcome == "answered" else "request failed",
-            request=query.request.id,
-            route=query.route.name,
-            version=version,
-            outcome=result.outcome,
-            status=result.answer.status,
-            ms=round(seconds * 1000, 1),
-            included=result.included,
-            shards=len(result.calls),
-            **({} if account is None else {"account": account.name}),
-            **query.admission_fields(),
-            exceptions=[
-                {
-                    "service": call.pool.service,
-                    "leaves": call.tried_leaf_ids,
-                    "faults": call.fault_reasons,
-                    "end": call.state.value,
-                    "pending": call.pending_leaf_id,
-                }
-                for call in result.calls
-                if call.fault_reasons or call.extra_attempts or (call.answer is None and call.done)
-                # The calls of a query that admission refused all have the same entry.
-                if call.tried_leaf_ids or result.outcome != "overloaded"
-            ],
-        )
-
     def reload(self, settings: HostSettings) -> None:
         """Applies the settings that can change without a restart, which are the bounds.
 
@@ -394,6 +424,7 @@
         if pause:
             _LOGGER.warning("process was paused", seconds=round(pause, 3))
         self.directory.remove_expired(self._clock.now())
+        self._gate.remove_expired()
         host_count = self.neighbours.fleet_size() if self.neighbours is not None else None
         if host_count is not None:
             FLEET_SIZE.set(host_count)
@@ -401,12 +432,6 @@
             self.directory.set_host_count(host_count)
 
 
-def _may_share_reader(bounds: Bounds) -> bool:
-    """Returns whether the bounds leave time to detect a reader whose data is stale."""
-    shortest = min(bounds.leaf_drain_seconds, bounds.routes_seconds, bounds.evacuate_seconds)
-    return shortest >= _MIN_READER_SHARING_SECONDS
-
-
 def _quota_bounds(settings: HostSettings) -> QuotaBounds:
     bounds = settings.bounds
     return QuotaBounds(
@@ -415,25 +440,3 @@
         slack=bounds.quota_slack,
         data_centres=max(1, len(settings.region_by_data_centre)),
     )
-
-
-def _refuse_quota(
-    decision: QuotaDecision,
-    request: CallerRequest,
-    route: Route,
-    account: ClientAccount,
-    version: int,
-) -> CallerAnswer:
-    """Logs and creates the refusal of a request that its quota does not allow now."""
-    status = 429 if decision.outcome == "over_quota" else 503
-    _LOGGER.info(
-        "refused",
-        request=request.id,
-        status=status,
-        reason=decision.outcome,
-        account=account.name,
-        route=route.name,
-        version=version,
-    )
-    reason = "the quota of the account is used up" if status == 429 else "the quota is not known"
-    return refuse(status, reason, retry_after_seconds=decision.retry_after_seconds)
--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -9,19 +9,23 @@
     Distance,
     LeafOutcome,
     LeafReport,
+    LoadReturn,
     ReplicaPolicy,
     ServiceAdmission,
     SpillPolicy,
     SpillReason,
     make_replica_policy,
 )
+from filbertreach.gateway._cold_bound import ColdBound
 from filbertreach.gateway._exchange import Exchange
 from filbertreach.gateway._leaf_connection import LeafConnection
 from filbertreach.gateway._leaf_departures import LeafDepartures
 from filbertreach.gateway._leaf_handle import LeafHandle, Location
+from filbertreach.gateway._observed_leaves import ObservedLeaves
 from filbertreach.gateway._request_turns import TurnSchedule
 from filbertreach.gateway._retry_budget import RetryBudget, RetryBudgetSettings
 from filbertreach.gateway._retry_hold import RetryHold
+from filbertreach.gateway._route_latencies import RouteLatencies
 from filbertreach.gateway._spill_over_log import SpillOverLog
 from filbertreach.observability import get_logger
 from filbertreach.platform import LeafAnswer, LeafEntry
@@ -67,6 +71,10 @@
         admission: bool = False,
         spill_over: SpillPolicy | None = None,
         spill_over_log: SpillOverLog | None = None,
+        cold_bound: ColdBound | None = None,
+        load_return: LoadReturn | None = None,
+        observed: ObservedLeaves | None = None,
+        on_idle_closed: Callable[[LeafHandle], None] | None = None,
     ) -> None:
         """Creates a pool without leaves.
 
@@ -83,6 +91,10 @@
             spill_over: Decides what is sent to other data centres; None to prefer near leaves by
                 fixed penalties.
             spill_over_log: Counts the calls sent out; None to count none.
+            cold_bound: What a cold leaf tolerates; None for the usual bound.
+            load_return: Paces the return of load to leaves; None to use them in full at once.
+            observed: Observations that hosts share; None to use those of this host alone.
+            on_idle_closed: Called when a leaf has closed a connection without a request.
         """
         self.service = service
         self.admission = ServiceAdmission() if admission else None
@@ -101,10 +113,14 @@
         self._chooser: ReplicaPolicy = make_replica_policy(name="least_expected_wait")
         self._spill_over = spill_over
         self._spill_over_log = spill_over_log
+        self._observed = observed
+        self._on_idle_closed = on_idle_closed
         self._sent_out_reason: SpillReason | None = None
         """Why the leaf that was chosen last is in another data centre."""
         self._connections = _DEFAULT_CONNECTIONS
         self._cold_per_second: float | None = None
+        self._cold_bound = cold_bound or ColdBound()
+        self._load_return = load_return
         self._host_count: int | None = None
 
     @property
@@ -164,13 +180,17 @@
             if handle is not None:
                 handle.retire()
                 handle.request_limit.on_removed(self._clock.now())
+                if self._observed is not None:
+                    self._observed.on_restarted(handle, self._clock.now())
             handle = LeafHandle(
                 entry=entry,
                 location=self._location,
                 connections=self._connections_per_host(),
                 hosts=self._host_count,
                 schedule=self._schedule,
+                cold_bound=self._cold_bound,
                 clock=self._clock,
+                on_idle_closed=self._on_idle_closed,
             )
             handle.request_limit.cold_per_second = self._cold_per_second
             handle.retry_hold = self._hold_by_process.get(entry.process, handle.retry_hold)
@@ -257,6 +277,8 @@
                     del self.handle_by_id[leaf_id]
                     if self._spill_over is not None:
                         self._spill_over.forget(leaf_id)
+                    if self._observed is not None:
+                        self._observed.forget(leaf_id)
                     self._spread_turns()
         self._departures.remove_expired(now)
         for process, hold in list(self._hold_by_process.items()):
@@ -302,14 +324,20 @@
             # A request that is lost at a failing leaf can't be sent again, so avoid suspect leaves.
             listed = [h for h in listed if h.tracker.state != "suspect"] or listed
         is_sent_by_load = False
+        chosen: LeafHandle | None = None
         if not listed:
             chosen = min(last_resort, key=lambda h: h.tracker.in_flight, default=None)
-        elif self._spill_over is None:
-            chosen = self._choose_by_wait(listed, now, typical_seconds)
-        else:
-            chosen, is_sent_by_load = self._choose_by_costs(
-                self._spill_over, listed, now, typical_seconds, priority, remaining_seconds
+        for leaves in self._paced(listed, now):
+            chosen, is_sent_by_load = self._choose_listed(
+                leaves,
+                now,
+                typical_seconds,
+                priority,
+                remaining_seconds,
+                may_probe=repeatable and not tried and not hedge,
             )
+            if chosen is not None:
+                break
         self._sent_out_reason = None
         if is_sent_by_load:
             self._sent_out_reason = "load"
@@ -353,6 +381,74 @@
                 last_resort.append(handle)
         return listed, last_resort
 
+    def _paced(self, listed: list[LeafHandle], now: float) -> list[list[LeafHandle]]:
+        """Returns the leaves to choose from, and all of them if those cannot take the call.
+
+        Leaves to which load is returning are left out for a part of the calls. While a leaf is
+        cold, its limit sets the pace.
+        """
+        if not listed:
+            return []
+        if self._load_return is None or not self._load_return.is_active(now):
+            return [listed]
+        withheld = self._load_return.withheld(
+            [
+                (handle.leaf.id, handle.leaf.data_centre)
+                for handle in listed
+                if not handle.request_limit.is_cold(now)
+            ],
+            now,
+        )
+        others = [handle for handle in listed if handle.leaf.id not in withheld]
+        if not withheld or all(handle.tracker.state == "suspect" for handle in others):
+            return [listed]
+        return [others, listed]
+
+    def _choose_listed(
+        self,
+        listed: list[LeafHandle],
+        now: float,
+        typical_seconds: float | None,
+        priority: int,
+        remaining_seconds: float,
+        *,
+        may_probe: bool,
+    ) -> tuple[LeafHandle | None, bool]:
+        """Chooses a leaf; one that hosts observe as failing only as a probe or without others.
+
+        Returns:
+            The leaf, and whether load sends the request to a far leaf although a near one may get
+            it.
+        """
+        failing = self._observed.apply(listed, now) if self._observed is not None else ()
+        args = (now, typical_seconds, priority, remaining_seconds)
+        chosen, by_load = self._choose_among(listed, *args)
+        if self._observed is None or chosen not in failing or chosen is None:
+            return chosen, by_load
+        if may_probe and self._observed.try_probe():
+            return chosen, by_load
+        others = [handle for handle in listed if handle not in failing]
+        other, is_other_by_load = self._choose_among(others, *args) if others else (None, False)
+        if other is None:
+            self._observed.on_no_other()
+            return chosen, by_load
+        self._observed.on_avoided(chosen, now)
+        return other, is_other_by_load
+
+    def _choose_among(
+        self,
+        allowed: list[LeafHandle],
+        now: float,
+        typical_seconds: float | None,
+        priority: int,
+        remaining_seconds: float,
+    ) -> tuple[LeafHandle | None, bool]:
+        if self._spill_over is None:
+            return self._choose_by_wait(allowed, now, typical_seconds), False
+        return self._choose_by_costs(
+            self._spill_over, allowed, now, typical_seconds, priority, remaining_seconds
+        )
+
     def _choose_by_wait(
         self, listed: list[LeafHandle], now: float, typical_seconds: float | None
     ) -> LeafHandle | None:
@@ -434,8 +530,13 @@
         return "tried" if all(leaf_id in tried for leaf_id in nearer_ids) else "load"
 
     def _is_in_use(self, handle: LeafHandle) -> bool:
-        """Returns whether a leaf is listed, not leaving and not suspect."""
-        return handle.usable_until == math.inf and handle.tracker.state != "suspect"
+        """Returns whether a leaf is listed, not leaving, and neither suspect nor failing."""
+        if handle.usable_until < math.inf or handle.tracker.state == "suspect":
+            return False
+        observed = self._observed
+        if observed is None or observed.is_idle:
+            return True
+        return not observed.is_failing(handle, self._clock.now())
 
     def _nearest(self) -> Distance:
         """Returns the distance of the nearest leaves that are listed, in use and not suspect."""
@@ -472,16 +573,29 @@
         self._spawn(connection.run, f"leaf {handle.leaf.id}")
         return connection
 
-    def record_finish(self, handle: LeafHandle, exchange: Exchange, outcome: LeafOutcome) -> None:
+    def record_finish(
+        self,
+        handle: LeafHandle,
+        exchange: Exchange,
+        outcome: LeafOutcome,
+        latencies: RouteLatencies | None = None,
+    ) -> None:
         """Records the outcome of a request at a leaf.
 
         Args:
             handle: The leaf.
             exchange: The request.
             outcome: Its outcome.
+            latencies: Latencies of its route; None if unknown.
         """
         now = self._clock.now()
-        handle.tracker.record_finish(outcome, now - exchange.started_at, now)
+        seconds = now - exchange.started_at
+        handle.tracker.record_finish(outcome, seconds, now)
+        # A call to a replaced process says nothing of the one that has its id now.
+        if self._observed is not None and self.handle_by_id.get(handle.leaf.id) is handle:
+            self._observed.record(
+                handle, outcome, seconds, now, sent=exchange.sent, latencies=latencies
+            )
         if self._spill_over is not None and outcome in _FAILURES:
             self._spill_over.on_failure(handle.candidate, now)
         if self.admission is not None:
--- a/filbertreach/gateway/tests/test_command.py
+++ b/filbertreach/gateway/tests/test_command.py
@@ -11,6 +11,8 @@
 import pytest
 
 from filbertreach.platform import load_boot
+from filbertreach.schema import parse_address
+from filbertreach_standins.ports import free_address
 
 _SETTINGS = """
 node_name = "front-1"
@@ -34,14 +36,10 @@
 """
 
 
-def _free_port() -> int:
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return int(listener.getsockname()[1])
-
-
 def _write(path: pathlib.Path) -> tuple[int, int]:
-    ports = _free_port(), _free_port()
+    # Not ephemeral ports: the kernel may choose such a port as the source of a probe, which then
+    # connects to itself, or give it to another process before the gateway binds it.
+    ports = parse_address(free_address())[1], parse_address(free_address())[1]
     path.write_text(_SETTINGS.format(front=ports[0], ready=ports[1]))
     return ports
 
@@ -185,3 +183,18 @@
     path.write_text(_SETTINGS.format(front=1, ready=2) + limits)
     settings = load_boot(str(path)).unwrap()
     assert (settings.link_bytes_per_second, settings.cores) == (link, cores)
+
+
+def test_the_bounds_of_cold_leaves_and_removed_keys_are_read(tmp_path: pathlib.Path) -> None:
+    # Guards against a bound of the deployment that is assumed instead of read.
+    path = tmp_path / "boot.toml"
+    path.write_text(_SETTINGS.format(front=1, ready=2))
+    bounds = load_boot(str(path)).unwrap().bounds
+    assert (bounds.cold_overrun, bounds.cold_slack) == (1.5, 5.0)
+    assert (bounds.strict_revoke, bounds.revoke_seconds) == (False, 5.0)
+    stated = "retry_slack = 54\ncold_overrun = 1.2\ncold_slack = 3\nstrict_revoke = true\n"
+    text = _SETTINGS.replace("retry_slack = 54\n", stated + "revoke_ms = 2500\n")
+    path.write_text(text.format(front=1, ready=2))
+    bounds = load_boot(str(path)).unwrap().bounds
+    assert (bounds.cold_overrun, bounds.cold_slack) == (1.2, 3.0)
+    assert (bounds.strict_revoke, bounds.revoke_seconds) == (True, 2.5)
--- a/filbertreach/quotas/_parts.py
+++ b/filbertreach/quotas/_parts.py
@@ -74,6 +74,14 @@
         """Number of known hosts of the data centre."""
         return len(self._seen_at_by_host)
 
+    def is_known(self, host: str) -> bool:
+        """Returns whether a seed or another quota host has named a host of the data centre lately.
+
+        Args:
+            host: Name of the host.
+        """
+        return host in self._seen_at_by_host
+
     def delegating_hosts(self, now: float) -> list[str]:
         """Returns the hosts that delegate to this host.
 
@@ -89,6 +97,9 @@
     def on_delegation(self, host: str, *, delegated_after: float, now: float) -> None:
         """Records that a gateway has delegated its part.
 
+        That of a host which neither a seed nor another quota host has named is not used: a faulty
+        neighbour may invent names, and each name that counts lessens the parts of all hosts.
+
         Args:
             host: The gateway.
             delegated_after: Clock of this host before the gateway delegated, in seconds. The
@@ -99,6 +110,8 @@
             return
         if now - self._started_at < LOAN_SECONDS:
             return  # The former process of this host may have lent what it held.
+        if not self.is_known(host):
+            return
         valid_until = delegated_after + DELEGATION_SECONDS
         self._valid_until_by_host[host] = max(
             valid_until, self._valid_until_by_host.get(host, -math.inf)
--- a/filbertreach/schema/_generated_messages.py
+++ b/filbertreach/schema/_generated_messages.py
@@ -13,6 +13,52 @@
 """
 
 
+class QuarantinedLeaf(TypedDict):
+    """
+    A leaf that has ended while it ran a request.
+    """
+
+    leaf: str
+    """
+    Leaf id.
+    """
+    started_at_ms: Int64
+    """
+    Start time of the leaf, in milliseconds.
+    """
+
+
+class AccountUse(TypedDict):
+    """
+    Use of one client account as a quota host knows it.
+    """
+
+    name: str
+    """
+    Account name.
+    """
+    rate_per_s: float
+    """
+    Requests per second that the quota allows over all hosts.
+    """
+    burst: float
+    """
+    Requests beyond the rate that the quota allows at once.
+    """
+    granted_per_s: float
+    """
+    Requests per second that this host has granted lately.
+    """
+    share: float
+    """
+    Fraction of the quota that this host grants.
+    """
+    demand_by_data_centre: dict[str, float]
+    """
+    Requests per second that quota hosts report, by their data centre; includes what would fill their buckets again.
+    """
+
+
 class Call(TypedDict):
     """
     One shard's part of a query, sent by an entry process to a dispatch process.
@@ -617,6 +663,48 @@
     """
 
 
+class RetryHistory(TypedDict):
+    """
+    Requests and extra calls of one service at a host that has stopped.
+    """
+
+    service: str
+    """
+    Service name.
+    """
+    known_ms: NonNegativeInt64
+    """
+    Time from the first request to the stop, in milliseconds.
+    """
+    requests: list[list[NonNegativeInt64]]
+    """
+    Requests as pairs of an age at the stop in milliseconds and a number, oldest first.
+    """
+    extra_calls: list[list[NonNegativeInt64]]
+    """
+    Retries and hedges, likewise.
+    """
+
+
+class RetryHistories(TypedDict):
+    """
+    What a host that stops hands over about its retry budgets, or what a host that starts is told about them.
+    """
+
+    host: str
+    """
+    Name of the host.
+    """
+    stopped_ms: NonNegativeInt64
+    """
+    Time since the host stopped, in milliseconds.
+    """
+    histories: list[RetryHistory]
+    """
+    One for each service; empty if nothing is known of the host.
+    """
+
+
 class QuotaRequest(TypedDict):
     """
     What a gateway asks of the quota host of its data centre.
@@ -638,6 +726,14 @@
     """
     Clock of the quota host as its last reply stated it, in seconds. Present if the asking host delegates its part of all quotas to the quota host.
     """
+    pressure: NotRequired[float]
+    """
+    Running and waiting calls per slot of the leaves that the asking host calls, as they report it; absent if it has no recent report or applies no account shares.
+    """
+    pressure_age_seconds: NotRequired[float]
+    """
+    Time since the newest of these reports; absent without pressure.
+    """
 
 
 class QuotaReply(TypedDict):
@@ -657,6 +753,14 @@
     """
     Time until a request can be granted, for accounts of which fewer requests were granted than requested.
     """
+    over_share: NotRequired[dict[str, NonNegativeInt64]]
+    """
+    Requests that the quota allows and that were refused because the account is over its share, by account; absent for none.
+    """
+    share_wait_seconds: NotRequired[dict[str, float]]
+    """
+    Time after which a request may be within the share again, for the accounts of over_share; absent for none.
+    """
 
 
 class QuotaReport(TypedDict):
@@ -744,6 +848,94 @@
     """
 
 
+class LeafObservation(TypedDict):
+    """
+    What a gateway has observed at a leaf since its last report.
+    """
+
+    leaf: str
+    """
+    Id of the leaf.
+    """
+    kind: Literal['failing', 'slow', 'healthy']
+    """
+    The exception, or that the leaf is healthy again.
+    """
+    calls: NonNegativeInt64
+    """
+    Number of calls that show it.
+    """
+    factor: float
+    """
+    Time of the slowest call as a multiple of the usual time; 1 unless the leaf is slow.
+    """
+    age_seconds: float
+    """
+    Time since the last of these calls ended.
+    """
+
+
+class LeafReports(TypedDict):
+    """
+    Observations of a gateway, for the gateway of its data centre that merges them.
+    """
+
+    host: str
+    """
+    Name of the host that observed.
+    """
+    observations: list[LeafObservation]
+    """
+    Observations, at most one for each leaf.
+    """
+
+
+class MergedLeafState(TypedDict):
+    """
+    An exception that the hosts of a data centre observe at a leaf.
+    """
+
+    leaf: str
+    """
+    Id of the leaf.
+    """
+    kind: Literal['failing', 'slow']
+    """
+    The exception.
+    """
+    factor: float
+    """
+    Time of its calls as a multiple of the usual time; 1 for a failing leaf.
+    """
+    age_seconds: float
+    """
+    Time since the newest observation of the exception.
+    """
+    hosts: NonNegativeInt64
+    """
+    Number of hosts that observe it.
+    """
+
+
+class MergedLeafStates(TypedDict):
+    """
+    Leaves at which the hosts of a data centre observe exceptions.
+    """
+
+    revision: NonNegativeInt64
+    """
+    Number of this version of the states.
+    """
+    waited_seconds: float
+    """
+    Time from the arrival of the poll to this answer.
+    """
+    states: list[MergedLeafState]
+    """
+    All exceptions in force.
+    """
+
+
 class Frame(TypedDict):
     """
     Unit of transfer between two processes; carries many messages.
@@ -793,3 +985,96 @@
     """
     Messages, told apart by kind.
     """
+
+
+class QuarantineEntry(TypedDict):
+    """
+    Leaves lost under requests with the same content, as one gateway has seen them.
+    """
+
+    fingerprint: str
+    """
+    Digest of method, target, body and account, 16 bytes in hexadecimal.
+    """
+    route: str
+    """
+    Name of the route.
+    """
+    leaves: list[QuarantinedLeaf]
+    """
+    Leaves that have ended.
+    """
+    attempts: NonNegativeInt64
+    """
+    Calls sent for such requests.
+    """
+    quarantined: bool
+    """
+    Whether the sender refuses such requests.
+    """
+    age_seconds: float
+    """
+    Time since the last loss.
+    """
+
+
+class AccountUsePage(TypedDict):
+    """
+    Accounts with a quota as one gateway knows them.
+    """
+
+    host: str
+    """
+    Host that answers.
+    """
+    data_centre: str
+    """
+    Data centre of the host.
+    """
+    is_active: bool
+    """
+    Whether its configuration has quotas.
+    """
+    applies_shares: bool
+    """
+    Whether it refuses requests of accounts over their share at present.
+    """
+    pressure: NotRequired[float]
+    """
+    Median of the calls per slot that hosts of the data centre report; absent if unknown.
+    """
+    total_accounts: NonNegativeInt64
+    """
+    Accounts with a quota in its configuration.
+    """
+    accounts: list[AccountUse]
+    """
+    The accounts that were named, or those with the most use.
+    """
+    quota_host: NotRequired[KnownHost]
+    """
+    Quota host of the data centre; absent if it is this host.
+    """
+
+
+class QuarantineNotice(TypedDict):
+    """
+    What a gateway tells others of requests that crash leaves.
+    """
+
+    sender: str
+    """
+    Host that has seen the losses.
+    """
+    data_centre: str
+    """
+    Its data centre.
+    """
+    spread: Literal['all', 'data_centre', 'none']
+    """
+    Whether the receiver passes it on to one host of each data centre, to the hosts of its own, or to none.
+    """
+    entries: list[QuarantineEntry]
+    """
+    Losses, at most 50 entries.
+    """
--- a/filbertreach/schema/_generated_policy.py
+++ b/filbertreach/schema/_generated_policy.py
@@ -6,6 +6,39 @@
 from typing import NotRequired, TypedDict
 
 
+class QuarantineSection(TypedDict):
+    """
+    Requests that crash leaves.
+    """
+
+    enabled: NotRequired[bool]
+    """
+    Whether requests under which leaves end are stopped, and refused when they are repeated.
+    """
+
+
+class AccountSharesSection(TypedDict):
+    """
+    Fair shares of client accounts while leaves are under pressure.
+    """
+
+    enabled: NotRequired[bool]
+    """
+    Whether the gateway reports the pressure of leaves to its quota host and, as quota host, refuses requests of accounts over their share while it is high.
+    """
+
+
+class LeafObservationsSection(TypedDict):
+    """
+    Observations of leaves that the gateways of a data centre share.
+    """
+
+    enabled: NotRequired[bool]
+    """
+    Whether the gateway reports failing and slow leaves to the other gateways of its data centre, and applies what they report.
+    """
+
+
 class AdmissionSection(TypedDict):
     """
     Refusal of requests that can't be served in time.
@@ -17,6 +50,28 @@
     """
 
 
+class CallerReserveSection(TypedDict):
+    """
+    Part of the objective that is reserved for the way of an answer back to the caller.
+    """
+
+    enabled: NotRequired[bool]
+    """
+    Whether the reserve follows what the host observes; otherwise it is 16 ms.
+    """
+
+
+class RetryHandoverSection(TypedDict):
+    """
+    Counts of retry budgets that survive a graceful restart.
+    """
+
+    enabled: NotRequired[bool]
+    """
+    Whether a gateway that stops hands its retry histories to two others, and asks for them when it starts.
+    """
+
+
 class SpillOverSection(TypedDict):
     """
     Use of leaves in other data centres.
@@ -36,10 +91,27 @@
     """
 
 
+class LoadReturnSection(TypedDict):
+    """
+    Return of load after an evacuation or a start of many leaves.
+    """
+
+    enabled: NotRequired[bool]
+    """
+    Whether load returns over some seconds.
+    """
+
+
 class GatewayPolicy(TypedDict):
     """
     Decisions under load that operators switch on in the gateway, written in INI.
     """
 
+    quarantine: NotRequired[QuarantineSection]
+    account_shares: NotRequired[AccountSharesSection]
     admission: NotRequired[AdmissionSection]
+    caller_reserve: NotRequired[CallerReserveSection]
+    leaf_observations: NotRequired[LeafObservationsSection]
+    load_return: NotRequired[LoadReturnSection]
+    retry_handover: NotRequired[RetryHandoverSection]
     spill_over: NotRequired[SpillOverSection]
