--- a/filbertreach/quarantine/_fleet_quarantine.py
+++ b/filbertreach/quarantine/_fleet_quarantine.py
@@ -32,13 +32,15 @@
 
 _LOGGER = get_logger(__name__)
 
-_CHECK_PAUSE_SECONDS = 0.035
-"""Time after a loss at which it is checked whether the request is to blame, also if no further
-request asks; a little more than `RequestQuarantine` waits for the ends of other leaves."""
+_CHECK_DELAY_SECONDS = 0.035
+"""Time after a loss at which it is checked whether the request is the cause, also if no
+further request asks; a little more than `RequestQuarantine` waits for the ends of other leaves."""
 _SHARE_INTERVAL_SECONDS = 0.02
 """Shortest time between two messages. The first loss is shared at once."""
 _MAX_PENDING = 1_000
 """Fingerprints that wait to be shared."""
+_MAX_SHARED_AGE_SECONDS = 1.0
+"""Age of the last loss from which it is not shared, as it had to wait for the allowance."""
 
 
 class RequestContent(NamedTuple):
@@ -87,11 +89,11 @@
         )
         self._guards_by_fingerprint: dict[bytes, set[RequestGuard]] = {}
         """Requests in progress."""
-        self._route_by_fingerprint: dict[bytes, str] = {}
+        self._pending_route_by_fingerprint: dict[bytes, str] = {}
         """Fingerprints to be shared, with their routes."""
-        self._lost_routes: dict[bytes, str] = {}
+        self._lost_route_by_fingerprint: dict[bytes, str] = {}
         """Routes by fingerprint, of requests under which this host has lost leaves."""
-        self._pending = anyio.Event()
+        self._has_pending = anyio.Event()
         self._sent_allowance = EntryAllowance()
         self._received_allowance = received_allowance()
         self._sender = NoticeSender()
@@ -185,20 +187,20 @@
 
     def _on_loss(self, key: bytes, route: str) -> None:
         LEAF_LOSSES.inc()
-        self._lost_routes[key] = route
-        while len(self._lost_routes) > MAX_ENTRIES:
-            del self._lost_routes[next(iter(self._lost_routes))]
+        self._lost_route_by_fingerprint[key] = route
+        while len(self._lost_route_by_fingerprint) > MAX_ENTRIES:
+            del self._lost_route_by_fingerprint[next(iter(self._lost_route_by_fingerprint))]
         self._queue(key, route)
         self._spawn(lambda: self._check_later(key))
 
     async def _check_later(self, key: bytes) -> None:
-        await anyio.sleep(_CHECK_PAUSE_SECONDS)
+        await anyio.sleep(_CHECK_DELAY_SECONDS)
         self._quarantine.check(key, self._clock.now())
 
     def _on_quarantined(self, key: bytes, source: str) -> None:
         guards = self._guards_by_fingerprint.get(key, set())
         if not source:
-            route = self._lost_routes.get(key, "")
+            route = self._lost_route_by_fingerprint.get(key, "")
             evidence = self._quarantine.evidence(key, self._clock.now())
             _LOGGER.warning(
                 "request quarantined",
@@ -256,30 +258,30 @@
         self._sender.send(notice, addresses)
 
     def _queue(self, key: bytes, route: str) -> None:
-        if self._hosts is None or len(self._route_by_fingerprint) >= _MAX_PENDING:
+        if self._hosts is None or len(self._pending_route_by_fingerprint) >= _MAX_PENDING:
             return
-        self._route_by_fingerprint[key] = route
-        self._pending.set()
+        self._pending_route_by_fingerprint[key] = route
+        self._has_pending.set()
 
     async def _share(self) -> None:
         while True:
-            await self._pending.wait()
-            self._pending = anyio.Event()
+            await self._has_pending.wait()
+            self._has_pending = anyio.Event()
             self._share_batch()
             await anyio.sleep(_SHARE_INTERVAL_SECONDS)
-            if self._route_by_fingerprint:
-                self._pending.set()
+            if self._pending_route_by_fingerprint:
+                self._has_pending.set()
 
     def _share_batch(self) -> None:
         """Sends what is pending as far as it is allowed, the oldest losses first."""
         assert self._hosts is not None
         now = self._clock.now()
-        allowed = self._sent_allowance.take(len(self._route_by_fingerprint), now)
+        allowed = self._sent_allowance.take(len(self._pending_route_by_fingerprint), now)
         losses = []
-        for key in list(self._route_by_fingerprint)[:allowed]:
-            route = self._route_by_fingerprint.pop(key)
+        for key in list(self._pending_route_by_fingerprint)[:allowed]:
+            route = self._pending_route_by_fingerprint.pop(key)
             evidence = self._quarantine.evidence(key, now)
-            if evidence is not None and evidence.age_seconds < 1.0:
+            if evidence is not None and evidence.age_seconds < _MAX_SHARED_AGE_SECONDS:
                 losses.append(SharedLosses(evidence, route))
         if not losses:
             return
--- a/filbertreach/quarantine/_idle_ends.py
+++ b/filbertreach/quarantine/_idle_ends.py
@@ -1,4 +1,4 @@
-"""Ends of leaves that had no request of this host, as a sign that leaves end by themselves."""
+"""Leaves that end without a request of this host, as a sign that leaves end for other reasons."""
 
 import collections
 import math
@@ -9,16 +9,21 @@
 from filbertreach.quarantine._request_guard import LeafCheck
 
 _NEAR_SECONDS = 0.1
-"""Time before and after a lost request within which idle connections that close are looked into.
-Leaves close idle connections all the time."""
+"""Time before and after a lost request within which leaves that close idle connections are checked.
+At other times, a closed idle connection is nothing unusual."""
 _MAX_CLOSED = 64
-"""Closed connections that are kept, or looked into after one lost request."""
+"""Closed connections that are kept, and checks that follow one lost request."""
 
 
 class _Closed(NamedTuple):
+    """An idle connection that its leaf has closed."""
+
     at: float
+    """Clock at which it was closed, in seconds."""
     process: LeafProcess
+    """The leaf."""
     address: str
+    """ip:port of the leaf."""
 
 
 class IdleEnds:
@@ -36,7 +41,8 @@
         self._check_leaf = check_leaf
         self._on_ended = on_ended
         self._closed: collections.deque[_Closed] = collections.deque(maxlen=_MAX_CLOSED)
-        self._looks_until = -math.inf
+        self._window_ends_at = -math.inf
+        """Clock until which leaves that close connections are checked at once, in seconds."""
         self._checks_left = 0
 
     def on_closed(self, process: LeafProcess, address: str, now: float) -> None:
@@ -48,20 +54,20 @@
             now: Current clock, in seconds.
         """
         closed = _Closed(now, process, address)
-        if now < self._looks_until:
+        if now < self._window_ends_at:
             self._check(closed)
         else:
             self._closed.append(closed)
 
     def on_request_lost(self, now: float) -> None:
-        """Looks into the connections that were closed just before, and those closed next.
+        """Checks the leaves that closed connections just before, and those that do so next.
 
         Args:
             now: Current clock, in seconds.
         """
-        if now >= self._looks_until:
+        if now >= self._window_ends_at:
             self._checks_left = _MAX_CLOSED
-        self._looks_until = now + _NEAR_SECONDS
+        self._window_ends_at = now + _NEAR_SECONDS
         closed, self._closed = self._closed, collections.deque(maxlen=_MAX_CLOSED)
         for one in closed:
             if now - one.at < _NEAR_SECONDS:
--- a/filbertreach/quarantine/_leaf_checks.py
+++ b/filbertreach/quarantine/_leaf_checks.py
@@ -17,8 +17,8 @@
 _CONNECT_TIMEOUT_SECONDS = 0.15
 """Enough for two network delays to another region. Without an answer, the link may be cut, so it
 is not known whether the leaf has ended."""
-_PAUSES_SECONDS = (0.0, 0.01, 0.03)
-"""Times before the attempts. A process that ends closes its sockets one after the other, and may
+_ATTEMPT_DELAYS_SECONDS = (0.0, 0.01, 0.03)
+"""Delays before the attempts. A process that ends closes its sockets one after the other, and may
 close the connection before the socket at which it listens; a connection opened meanwhile is
 accepted or reset."""
 _MAX_CHECKS = 128
@@ -32,10 +32,14 @@
 """Results that are kept."""
 
 Spawn = Callable[[Callable[[], Coroutine[Any, Any, None]]], None]
+"""Runs a coroutine function as a task."""
 
 
 class _Result(NamedTuple):
+    """Result of a check."""
+
     ended: bool
+    """Whether the leaf has ended."""
     until: float
     """Clock until which the result is used, in seconds."""
 
@@ -103,8 +107,8 @@
     """Returns whether nothing listens at an address; False if it is not known."""
     host, port = parse_address(address)
     loop = asyncio.get_running_loop()
-    for pause_seconds in _PAUSES_SECONDS:
-        await anyio.sleep(pause_seconds)
+    for delay_seconds in _ATTEMPT_DELAYS_SECONDS:
+        await anyio.sleep(delay_seconds)
         try:
             with anyio.fail_after(_CONNECT_TIMEOUT_SECONDS):
                 transport, _ = await loop.create_connection(asyncio.Protocol, host, port)
--- a/filbertreach/quarantine/_loss_rates.py
+++ b/filbertreach/quarantine/_loss_rates.py
@@ -1,4 +1,4 @@
-"""Rate at which leaves are lost under requests that are not suspected of it."""
+"""Rate at which leaves are lost for reasons other than the request that they run."""
 
 import collections
 import math
@@ -11,27 +11,38 @@
 """Time over which calls and losses are counted; leaves that end for another reason mostly do so
 together, within seconds."""
 _MAX_LOSSES = 2_000
-"""Losses that are kept; more of them than that leave no doubt that leaves end by themselves."""
+"""Losses that are kept. If there are more, leaves clearly end for other reasons."""
 _ASSUMED_LOSSES = 1.0
+"""Losses counted in addition to those observed; see `_ASSUMED_CALLS`."""
 _ASSUMED_CALLS = 100.0
-"""Losses and calls in addition to those observed. A host that has just started, or that serves
-few requests, must not take the first losses for unusual."""
-_EXCESS = 3.0
+"""Calls counted in addition to those observed. A host that has just started, or that serves
+few requests, must not take the first losses for unusual: it assumes 1 loss in 100 calls."""
+_EXCESS_FACTOR = 3.0
 """Multiple of the general rate which losses have to exceed beyond chance. Leaves that end by
 themselves do so unevenly: the data centre or the service of a request may have more than others."""
-_MAX_CHANCE = 0.1
-"""Expected number of requests, among those of the window, that reach as many losses by chance."""
+_MAX_FALSE_POSITIVES = 0.1
+"""Largest expected number of requests in the window that reach as many losses by chance, with
+which losses count as excessive."""
 
 
 class _Second(NamedTuple):
+    """Calls and requests of one second."""
+
     number: int
+    """Clock at its start, in whole seconds."""
     calls: int
+    """Calls sent."""
     requests: int
+    """Requests begun."""
 
 
 class _Loss(NamedTuple):
+    """A leaf lost for another reason than the request."""
+
     until: float
+    """Clock until which the loss counts, in seconds."""
     process: LeafProcess
+    """The leaf."""
 
 
 class LossRates:
@@ -96,8 +107,8 @@
         calls = max(0, sum(second.calls for second in self._seconds) - attempts)
         requests = sum(second.requests for second in self._seconds)
         rate = (general + _ASSUMED_LOSSES) / (calls + general + _ASSUMED_CALLS)
-        chance = _poisson_tail(losses, _EXCESS * max(attempts, losses) * rate)
-        return max(1, requests) * chance < _MAX_CHANCE
+        chance = _poisson_tail(losses, _EXCESS_FACTOR * max(attempts, losses) * rate)
+        return max(1, requests) * chance < _MAX_FALSE_POSITIVES
 
     def _remove_expired(self, now: float) -> None:
         while self._seconds and self._seconds[0].number < now - _WINDOW_SECONDS:
--- a/filbertreach/quarantine/_notice_sender.py
+++ b/filbertreach/quarantine/_notice_sender.py
@@ -45,7 +45,7 @@
         """Creates a sender without connections."""
         self._channel_by_address: dict[str, HttpChannel] = {}
         self._sending = 0
-        self._silent: set[str] = set()
+        self._unresponsive_addresses: set[str] = set()
         """Addresses that did not answer the last message."""
         self._stack = contextlib.AsyncExitStack()
         self._group: anyio.abc.TaskGroup | None = None
@@ -102,9 +102,9 @@
         finally:
             self._sending -= 1
         NOTICES.labels("failed" if failure else "sent").inc()
-        if failure and address not in self._silent:
+        if failure and address not in self._unresponsive_addresses:
             _LOGGER.info("losses not shared", address=address, error=failure)
         if failure:
-            self._silent.add(address)
+            self._unresponsive_addresses.add(address)
         else:
-            self._silent.discard(address)
+            self._unresponsive_addresses.discard(address)
--- a/filbertreach/quarantine/_notices.py
+++ b/filbertreach/quarantine/_notices.py
@@ -21,6 +21,7 @@
 """Calls that an entry may state."""
 
 Spread = Literal["all", "data_centre", "none"]
+"""To whom the receiver passes a message on: see `encode_notice`."""
 
 
 class NoticeError(ValueError):
@@ -111,13 +112,13 @@
 
 
 class EntryAllowance:
-    """Number of entries that may be sent or taken now."""
+    """Token bucket of the entries that may be sent to, or taken from, other hosts."""
 
     def __init__(self, *, per_second: int = MAX_ENTRIES_PER_SECOND) -> None:
-        """Creates an allowance for one second.
+        """Creates a full bucket.
 
         Args:
-            per_second: Entries per second.
+            per_second: Entries per second, and most entries at once.
         """
         self._per_second = per_second
         self._entries = float(per_second)
--- a/filbertreach/quarantine/_request_guard.py
+++ b/filbertreach/quarantine/_request_guard.py
@@ -1,4 +1,4 @@
-"""What one request may send, and what its losses say of its content."""
+"""Decides what is sent for one request, and records the leaves that are lost under it."""
 
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
@@ -60,7 +60,9 @@
             context: What all guards share.
         """
         self.fingerprint = fingerprint
+        """Fingerprint of the request."""
         self.verdict = verdict
+        """Decision before anything was sent."""
         self.losses = LossCount(max_losses=1 if self.is_trial else MAX_LOSSES)
         """Leaves lost under the request."""
         self.on_change: Callable[[], None] = lambda: None
@@ -71,6 +73,7 @@
         self._context = context
         self._is_answered = False
         self._has_failed = False
+        """Whether a trial has sent a call that got no answer."""
         self._first_shards: list[int] | None = None
         if shards and (self.is_trial or context.crashes.is_recent(route, context.now())):
             count = 1 if self.is_trial else FIRST_SHARDS
--- a/filbertreach/quarantine/_request_quarantine.py
+++ b/filbertreach/quarantine/_request_quarantine.py
@@ -15,6 +15,8 @@
 
 ENTRY_SECONDS = 30.0
 """Time after the last loss at which a fingerprint is tried again."""
+_KEPT_ENTRY_FACTOR = 10.0
+"""Multiple of `ENTRY_SECONDS` for which an entry in quarantine is kept for its trial."""
 MAX_ENTRIES = 1_000
 """Fingerprints with losses that are kept."""
 MAX_LEAVES = 8
@@ -25,12 +27,12 @@
 """Hosts whose evidence an entry keeps."""
 _CHECK_SECONDS = 0.03
 """Time after the second loss during which the ends of other leaves are awaited before a
-fingerprint is blamed. Leaves that end for another reason end together."""
+fingerprint is taken as the cause. Leaves that end for another reason end together."""
 _CHECK_AGAIN_SECONDS = 0.01
-"""Time after which a fingerprint that is not to blame is checked again."""
+"""Time after which a fingerprint that was not found to be the cause is checked again."""
 _REVIEW_SECONDS = 2.0
-"""Time after the last loss within which it is decided who is to blame. What is known of other
-losses then is compared; later it is forgotten."""
+"""Time after the last loss within which it is decided whether the fingerprint is the cause. Later,
+part of what this host knew of other losses has expired."""
 _ELSEWHERE_SECONDS = 1.0
 """Time for which the end of a leaf without a request of this host counts as a sign that leaves end
 by themselves. It is short because requests of other hosts may have ended the leaf."""
@@ -40,7 +42,6 @@
 """Longest time by which a host that learned an entry from others tries later than they do, so that
 mostly one host tries and the others learn its result."""
 
-
 OnQuarantined = Callable[[bytes, str], None]
 
 
@@ -70,6 +71,8 @@
 
 
 class _Evidence(NamedTuple):
+    """Losses under a fingerprint as one host has seen them; see `QuarantineEvidence`."""
+
     leaves: frozenset[LeafProcess] = frozenset()
     attempts: int = 0
 
@@ -85,13 +88,14 @@
         self.second_loss_at = math.inf
         """Clock at which as many leaves as `MAX_LOSSES` were known to be lost, in seconds."""
         self.check_at = math.inf
-        """Clock from which it is to be checked whether the fingerprint is to blame, in seconds."""
+        """Clock from which it is checked whether the fingerprint is the cause, in seconds."""
         self.answers = 0
         """Calls that leaves have answered since the first loss."""
         self.is_quarantined = False
         self.trial_at = -math.inf
         """Clock at which a request was tried last, in seconds."""
         self.trial_delay_seconds = 0.0
+        """Time by which this host tries later than the end of the entry."""
 
     @property
     def leaves(self) -> frozenset[LeafProcess]:
@@ -104,7 +108,7 @@
 
     @property
     def held_until(self) -> float:
-        """Clock until which nothing is sent, as it is not known who is to blame, in seconds."""
+        """Clock until which nothing is sent, as the cause is not known yet, in seconds."""
         if len(self.leaves) < MAX_LOSSES:
             return -math.inf
         return self.last_loss_at + _CHECK_SECONDS
@@ -191,7 +195,7 @@
             attempts: Calls sent for the request so far.
             now: Current clock, in seconds.
         """
-        entry = self._entry(fingerprint)
+        entry = self._get_or_create_entry(fingerprint)
         if entry.answers:
             # Other leaves have run the request, so this one may have ended by itself.
             self._rates.record_loss(process, now)
@@ -243,7 +247,7 @@
         """
         if evidence.age_seconds >= ENTRY_SECONDS:
             return False
-        entry = self._entry(evidence.fingerprint)
+        entry = self._get_or_create_entry(evidence.fingerprint)
         at = now - evidence.age_seconds
         known = entry.evidence_by_source.get(source)
         leaves = frozenset(evidence.leaves)
@@ -266,7 +270,7 @@
             and len(entry.leaves) >= MAX_LOSSES
             and not self._is_doubtful(entry, now)
         ):
-            self._put(evidence.fingerprint, entry, source)
+            self._put_into_quarantine(evidence.fingerprint, entry, source)
         return is_new
 
     # Decisions.
@@ -321,7 +325,7 @@
         return "held" if self._is_held(entry, now) else "free"
 
     def check(self, fingerprint: bytes, now: float) -> bool:
-        """Puts a fingerprint into quarantine if its losses can't be those of any request.
+        """Puts a fingerprint into quarantine if its losses are far above the general rate.
 
         Args:
             fingerprint: The request.
@@ -338,7 +342,7 @@
         entry.check_at = now + _CHECK_AGAIN_SECONDS
         if not self._is_excessive(entry, now):
             return False
-        self._put(fingerprint, entry, "")
+        self._put_into_quarantine(fingerprint, entry, "")
         return True
 
     def evidence(self, fingerprint: bytes, now: float) -> QuarantineEvidence | None:
@@ -367,8 +371,7 @@
             now: Current clock, in seconds.
         """
         for fingerprint, entry in list(self._entry_by_fingerprint.items()):
-            # A fingerprint in quarantine is kept longer, since its next request is only a trial.
-            factor = 10.0 if entry.is_quarantined else 1.0
+            factor = _KEPT_ENTRY_FACTOR if entry.is_quarantined else 1.0
             if now - entry.last_loss_at > factor * ENTRY_SECONDS:
                 self._remove(fingerprint)
             else:
@@ -406,7 +409,7 @@
             self._update_blamed()
             _LOGGER.info("request no longer quarantined", fingerprint=fingerprint.hex())
 
-    def _entry(self, fingerprint: bytes) -> _Entry:
+    def _get_or_create_entry(self, fingerprint: bytes) -> _Entry:
         entry = self._entry_by_fingerprint.get(fingerprint)
         if entry is None:
             if len(self._entry_by_fingerprint) >= MAX_ENTRIES:
@@ -416,7 +419,7 @@
         return entry
 
     def _make_room(self) -> None:
-        """Removes the oldest entry, a mere suspicion if there is one."""
+        """Removes the oldest entry that is not in quarantine, or the oldest one if all are."""
         oldest = next(iter(self._entry_by_fingerprint))
         for fingerprint, entry in self._entry_by_fingerprint.items():
             if not entry.is_quarantined:
@@ -424,7 +427,7 @@
                 break
         self._remove(oldest)
 
-    def _put(self, fingerprint: bytes, entry: _Entry, source: str) -> None:
+    def _put_into_quarantine(self, fingerprint: bytes, entry: _Entry, source: str) -> None:
         entry.is_quarantined = True
         self._blamed |= entry.leaves
         if self._on_quarantined is not None:
