--- a/filbertreach/ctl/_verbs_accounts.py
+++ b/filbertreach/ctl/_verbs_accounts.py
@@ -13,6 +13,7 @@
 from filbertreach.schema import AccountUse, AccountUsePage, JsonDecoder, base_url
 
 _TIMEOUT_SECONDS = 2.0
+"""Timeout of a request for a page."""
 _MAX_HOPS = 2
 """Gateways that are asked for one address: the named one, and the quota host that it names."""
 _PAGE_DECODER = JsonDecoder(message=AccountUsePage)
--- a/filbertreach/decisions/_load_return.py
+++ b/filbertreach/decisions/_load_return.py
@@ -12,11 +12,12 @@
 _START_WINDOW_SECONDS = 5.0
 """Time within which leaves of a data centre start together."""
 _MIN_STARTED = 3
+"""Least number of leaves of a mass return; see `_MIN_STARTED_SHARE`."""
 _MIN_STARTED_SHARE = 0.25
 """Leaves that start within the window are a mass return if they are at least this part of the
 leaves of their data centre and at least `_MIN_STARTED`. A rolling restart stays below that."""
 _DROP_SECONDS = 1.0
-"""Least time between two looks for starts and returns that have ended."""
+"""Shortest time between two removals of starts and returns that have ended."""
 
 
 class _Starts:
@@ -26,7 +27,7 @@
         self._started_at_by_leaf: collections.OrderedDict[str, float] = collections.OrderedDict()
         """Time of the latest start in seconds, oldest first."""
         self._waiting: dict[str, None] = {}
-        """Those whose return has not begun, as they were too few."""
+        """Ids of those whose return has not begun, as they were too few; an ordered set."""
 
     def __len__(self) -> int:
         return len(self._started_at_by_leaf)
@@ -77,6 +78,7 @@
         """When a leaf that started together with others began to get calls, in seconds."""
         self._starts_by_data_centre: dict[str, _Starts] = {}
         self._active_until = -math.inf
+        """Clock until which load returns to some leaf, in seconds."""
         self._drop_at = -math.inf
         """Clock from which starts and returns that have ended are dropped, in seconds."""
 
--- a/filbertreach/decisions/_observed_slowness.py
+++ b/filbertreach/decisions/_observed_slowness.py
@@ -1,10 +1,10 @@
-"""How slow other hosts observe a leaf."""
+"""Slowness of a leaf as other hosts observe it."""
 
 import math
 
 
 class ObservedSlowness:
-    """A factor on the time of calls to one leaf that ends by itself."""
+    """A factor on the time of calls to one leaf, in force until a given time."""
 
     __slots__ = ("_factor", "_until")
 
@@ -18,7 +18,7 @@
 
         Args:
             factor: Time of a call as a multiple of the usual one, at least 1.
-            until: When it ends, in seconds of the dispatch clock.
+            until: Clock at which it ends, in seconds.
         """
         self._factor = factor
         self._until = until
@@ -27,7 +27,7 @@
         """Returns the factor, 1 if there is no slowness.
 
         Args:
-            now: Seconds of the dispatch clock.
+            now: Current clock, in seconds.
         """
         return self._factor if now < self._until else 1.0
 
@@ -37,9 +37,9 @@
         Slow calls of this sender are part of its estimate already, so they don't count twice.
 
         Args:
-            seconds: Estimate by the calls of this sender.
-            usual_seconds: Time of calls of the same kind at other leaves.
-            now: Seconds of the dispatch clock.
+            seconds: Estimate from the calls of this sender, in seconds.
+            usual_seconds: Time of calls of the same kind at other leaves, in seconds.
+            now: Current clock, in seconds.
         """
         if now >= self._until:
             return seconds
--- a/filbertreach/gateway/_cold_bound.py
+++ b/filbertreach/gateway/_cold_bound.py
@@ -16,6 +16,7 @@
 """Exponent by which the Chernoff bound limits the chance of more requests in a second than a leaf
 tolerates. With an overrun of 1.5 and a slack of 5, `_MAX_SHARE` has at least 4.73 for any limit."""
 _STEPS = 40
+"""Steps of the bisection; the share is exact to _MAX_SHARE / 2^40."""
 
 
 class ColdBound(NamedTuple):
@@ -57,7 +58,7 @@
 
 
 def _is_safe(share: float, per_second: float, allowed: float) -> bool:
-    """Returns whether a sum of the peak rate stays within the allowed number of requests."""
+    """Returns whether requests at the peak rate rarely exceed the allowed number in a second."""
     peak = _PEAK_FACTOR * share * per_second
     if peak <= 0.0:
         return True
--- a/filbertreach/gateway/_command.py
+++ b/filbertreach/gateway/_command.py
@@ -55,7 +55,8 @@
 _DRAIN_END_FRACTION = 0.92
 """Fraction of the grace period after which requests in progress are cancelled."""
 _HANDOVER_FRACTION = 0.05
-"""Fraction of the grace period in which other hosts are told what the retry budgets have used."""
+"""Longest time, as a fraction of the grace period, for handing the retry histories to other hosts.
+It begins at `_DRAIN_END_FRACTION` at the latest, and has to end before the grace period does."""
 
 _LOGGER = get_logger(__name__)
 
--- a/filbertreach/gateway/_neighbour_application.py
+++ b/filbertreach/gateway/_neighbour_application.py
@@ -51,6 +51,7 @@
 """Bytes of a message about requests that crash leaves: 50 entries with long names."""
 _PROBLEM_TYPE = "application/problem+json"
 _LEAF_ROUTES = frozenset({(REPORTS_PATH, "POST"), (STATES_PATH, "GET")})
+"""Paths and methods that `answer_about_leaves` serves."""
 
 _REQUEST_DECODER = JsonDecoder(message=QuotaRequest)
 _REPORT_DECODER = JsonDecoder(message=QuotaReport)
--- a/filbertreach/gateway/_neighbours.py
+++ b/filbertreach/gateway/_neighbours.py
@@ -121,6 +121,7 @@
         """Hosts that do not answer about quotas may still read the store, so they are kept apart
         from hosts that are excluded as reader."""
         self._observation_excluded_until_by_name: dict[str, float] = {}
+        """Hosts that do not merge observations may still read the store."""
         self._channel_by_address: dict[str, HttpChannel] = {}
 
     async def __aenter__(self) -> Self:
--- a/filbertreach/gateway/_observed_leaves.py
+++ b/filbertreach/gateway/_observed_leaves.py
@@ -50,7 +50,7 @@
         return state is not None and state.kind == "failing"
 
     def apply(self, listed: Sequence[LeafHandle], now: float) -> list[LeafHandle]:
-        """Raises the expected time of slow leaves.
+        """Raises the expected time of slow leaves, and finds the failing ones.
 
         Args:
             listed: Leaves that may get a call.
--- a/filbertreach/gateway/_retry_history.py
+++ b/filbertreach/gateway/_retry_history.py
@@ -26,6 +26,8 @@
 
 
 class _Held(NamedTuple):
+    """Histories of one stopped host."""
+
     data: bytes
     """Histories in JSON, compressed."""
     stopped_at: float
--- a/filbertreach/gateway/_service_call.py
+++ b/filbertreach/gateway/_service_call.py
@@ -460,16 +460,16 @@
             return False
         if context.guard is not None:
             if not context.guard.may_send():
-                # The leaf is not to blame that it gets nothing.
+                # Counts as cancelled: the leaf has not failed, as the call was never written.
                 exchange.abandoned = True
                 return False
             context.guard.on_sent()
         return True
 
-    def _tell_guard(
+    def _report_to_guard(
         self, guard: RequestGuard, attempt: "_Attempt", result: LeafAnswer | LeafFault
     ) -> None:
-        """Tells the guard of the request what became of a call that was sent."""
+        """Reports the result of a call that was sent to the guard of the request."""
         if isinstance(result, LeafAnswer):
             if not result.not_run:
                 guard.on_answered()
@@ -495,7 +495,7 @@
     def _on_result(self, exchange: Exchange, result: LeafAnswer | LeafFault) -> None:
         attempt = self._attempt_by_exchange.pop(exchange, None)
         if attempt is not None and self._context.guard is not None:
-            self._tell_guard(self._context.guard, attempt, result)
+            self._report_to_guard(self._context.guard, attempt, result)
         handle = attempt.handle if attempt else self.pool.handle_by_id.get(self.tried_leaf_ids[-1])
         now = self._context.clock.now()
         if isinstance(result, LeafFault):
--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -414,7 +414,7 @@
         *,
         may_probe: bool,
     ) -> tuple[LeafHandle | None, bool]:
-        """Chooses a leaf; one that hosts observe as failing only as a probe or without others.
+        """Chooses a leaf; a failing one only for a probe, or if no other can take the call.
 
         Returns:
             The leaf, and whether load sends the request to a far leaf although a near one may get
--- a/filbertreach/leaf_observations/_board.py
+++ b/filbertreach/leaf_observations/_board.py
@@ -111,7 +111,7 @@
         self.state_by_leaf: dict[str, LeafState] = {}
         """States as they were published last, by leaf id."""
         self.is_general = False
-        """Whether so many leaves are observed as failing or slow that none is listed."""
+        """Whether none is listed because so many leaves are observed that overload is likely."""
         self._leaf_count = leaf_count
         self._reports_by_leaf: dict[str, dict[str, _HostReport]] = {}
         """Reports of the hosts, by leaf id and host."""
--- a/filbertreach/leaf_observations/_log.py
+++ b/filbertreach/leaf_observations/_log.py
@@ -31,12 +31,13 @@
     def record(
         self, changes: Iterable[StateChange], now: float, *, is_general: bool = False
     ) -> None:
-        """Writes the changes that are worth a line.
+        """Writes a line for each change that the bounds of the log allow.
 
         Args:
             changes: Changes of the merged states.
             now: Current clock, in seconds.
-            is_general: Whether none is listed because too many would be.
+            is_general: Whether none is listed because too many leaves are observed; see
+                `ObservationBoard.is_general`.
         """
         if now - self._period_started_at >= _PERIOD_SECONDS:
             self._period_started_at = now
--- a/filbertreach/leaf_observations/_messages.py
+++ b/filbertreach/leaf_observations/_messages.py
@@ -74,7 +74,7 @@
         revision: Number of this version of the states.
         state_by_leaf: The states, by leaf id.
         now: Current clock, in seconds.
-        waited_seconds: Time from the arrival of the poll.
+        waited_seconds: Time from the arrival of the poll to the answer, in seconds.
     """
     return MergedLeafStates(
         revision=revision,
--- a/filbertreach/leaf_observations/_observer.py
+++ b/filbertreach/leaf_observations/_observer.py
@@ -36,7 +36,7 @@
 class LeafObserver:
     """Turns the outcomes of the calls of one host into observations; without I/O.
 
-    Good answers are reported only of leaves at which an exception is known.
+    A good answer is reported only if the leaf is listed, or was reported by this host.
     """
 
     def __init__(self, *, states: LeafStates, pauses: PauseDetector) -> None:
@@ -76,7 +76,7 @@
         Args:
             leaf_id: Id of the leaf.
             outcome: How the call ended.
-            seconds: Time since it was sent.
+            seconds: Time since it was sent, in seconds.
             now: Current clock, in seconds.
             usual_seconds: Time within which most calls of the same route end at other leaves, which
                 grows under overload; None if unknown.
--- a/filbertreach/quotas/_advance.py
+++ b/filbertreach/quotas/_advance.py
@@ -46,7 +46,8 @@
         """
         self._bounds = bounds
         self._asking_by_host: dict[str, _Asking] = {}
-        self._removes_expired_at = 0.0
+        self._next_removal_at = 0.0
+        """Clock from which gateways that no longer ask are removed, in seconds."""
         self._granted_by_account: dict[str, int] = {}
         self._repeats_at = 0.0
 
@@ -62,7 +63,7 @@
             host: The gateway.
             now: Current clock, in seconds.
         """
-        if now >= self._removes_expired_at:
+        if now >= self._next_removal_at:
             self._remove_expired(now)
         asking = self._asking_by_host.get(host)
         if asking is None and len(self._asking_by_host) >= _MAX_ASKING_HOSTS:
@@ -128,7 +129,7 @@
         return asking_hosts / (max(hosts, asking_hosts, 1) * self._bounds.data_centres)
 
     def _remove_expired(self, now: float) -> None:
-        self._removes_expired_at = now + _ASKED_SECONDS
+        self._next_removal_at = now + _ASKED_SECONDS
         self._asking_by_host = {
             host: asking
             for host, asking in self._asking_by_host.items()
--- a/filbertreach/quotas/_granting.py
+++ b/filbertreach/quotas/_granting.py
@@ -30,7 +30,7 @@
 
 
 class QuotaGrants:
-    """Grants requests as quota host."""
+    """Decides, as quota host, how many requests of an account may be started."""
 
     def __init__(self, *, ledger: QuotaLedger, shares: AccountShares | None) -> None:
         """Creates a state without accounts.
@@ -46,6 +46,7 @@
         self.ledger = ledger
         """What this host may grant of each quota."""
         self._were_applied = False
+        """Whether shares were applied when that was logged last."""
 
     def grant(self, account: str, count: int, now: float) -> Grant:
         """Decides about requests of an account.
--- a/filbertreach_standins/deployment/_leaf.py
+++ b/filbertreach_standins/deployment/_leaf.py
@@ -52,6 +52,7 @@
 KEY_PREFIX = "soak-key-"
 """Start of the API keys of runs; a leaf records whether a request contains it."""
 _CRASH_EXIT_CODE = 70
+"""Exit code of a leaf that a request has crashed."""
 _WRITTEN_BYTES = 16_384
 _MAX_UNSENT_BYTES = 1_000_000
 
--- a/filbertreach_standins/gateways/_account_checks.py
+++ b/filbertreach_standins/gateways/_account_checks.py
@@ -22,6 +22,7 @@
 MAX_REQUESTS_IN_HOLD = 2
 """Requests of one gateway that may reach a leaf from then until the end of the time it named."""
 _COLD_WINDOW_SECONDS = 1.0
+"""Window in which the requests that reach a cold leaf are counted."""
 _MIN_REQUESTS_AFTER_RECOVERY = 150
 """Requests of an account after the recovery of which some must be served. The larger quota of a run
 had 319 to 380 in four runs, of which 56 to 64 were served. Of the smaller one, 2 to 4 of 75 to 88
@@ -149,15 +150,15 @@
 @guarantee("leaving leaf")
 def leaving_leaves_get_nothing_after_the_bound(record: RunRecord) -> Iterator[str]:
     """Yields requests that reached a leaf after the bound, by a gateway that it told it leaves."""
-    for leaving in record.leavings:
+    for departure in record.departures:
         told_at: dict[tuple[str, int], float] = {}
         for arrival, request in _arrivals(record):
-            during = leaving.started_at < arrival.at < leaving.ended_at
-            if arrival.leaf != leaving.leaf or not during or request is None:
+            during = departure.started_at < arrival.at < departure.ended_at
+            if arrival.leaf != departure.leaf or not during or request is None:
                 continue
             process = (request.gateway, request.incarnation)
             if request.status == 200 and any(
-                stamp.startswith(f"{leaving.leaf}.") for stamp in request.stamps
+                stamp.startswith(f"{departure.leaf}.") for stamp in request.stamps
             ):
                 # The answer of the leaf is part of the response, so the gateway has read it.
                 told_at.setdefault(process, request.ended_at)
@@ -166,7 +167,7 @@
                 record, request.gateway, request.sent_at, arrival.at
             ):
                 yield (
-                    f"{request.gateway} sent {arrival.id} to {leaving.leaf} "
+                    f"{request.gateway} sent {arrival.id} to {departure.leaf} "
                     f"{arrival.at - told_at[process]:.2f} s after it had said that it leaves"
                 )
 
--- a/filbertreach_standins/gateways/_account_fault_kinds.py
+++ b/filbertreach_standins/gateways/_account_fault_kinds.py
@@ -8,12 +8,14 @@
 from filbertreach_standins._process import StandInControl
 from filbertreach_standins.gateways._accounts import COLD_PER_SECOND, SECOND_DATA_CENTRE
 from filbertreach_standins.gateways._fault_kinds import FaultContext, FaultKind, register_fault
-from filbertreach_standins.gateways._record import ColdPhase, Evacuation, LeafLeaving
+from filbertreach_standins.gateways._record import ColdPhase, Evacuation, LeafDeparture
 
 account_kinds_by_name: dict[str, FaultKind] = {}
 """Kinds of runs with accounts, in addition to `fault_kinds_by_name`."""
 _SECOND_LEAF = "second leaf of the first shard"
+"""Target of kinds of faults: see `_second_leaf`."""
 _COLD_SECONDS = 12.0
+"""Time for which a leaf states that it is cold after a restart."""
 _CLOCK = SystemClock()
 
 
@@ -54,7 +56,7 @@
     started_at = _CLOCK.now()
     leaf.set_faults(leaving=True)
     context.wait(context.record.bound_seconds + context.rng.uniform(2.0, 5.0))
-    context.record.leavings.append(LeafLeaving(leaf.id, started_at, _CLOCK.now()))
+    context.record.departures.append(LeafDeparture(leaf.id, started_at, _CLOCK.now()))
     leaf.set_faults(leaving=None)
     # Only another start ends what a leaf has said of itself.
     context.deployment.write_leaf_entry(leaf, is_restart=True)
--- a/filbertreach_standins/gateways/_accounts.py
+++ b/filbertreach_standins/gateways/_accounts.py
@@ -10,6 +10,7 @@
 SECOND_DATA_CENTRE = "minho-2"
 """Data centre of every second host and of the second leaf of each shard in a run with accounts."""
 REGION = "minho"
+"""Region of both data centres."""
 QUOTA_WINDOW_SECONDS = 5.0
 """Window in which the requests of an account are counted; the default of the settings."""
 QUOTA_OVERRUN = 0.1
@@ -81,6 +82,7 @@
     *_NO_CREDENTIALS,
 )
 _WEIGHTS = (8, 4, 4, 2, 1, 1)
+"""Relative frequencies of `_CREDENTIALS`, in the same order."""
 
 
 def pick_credential(rng: random.Random) -> Credential:
--- a/filbertreach_standins/gateways/_record.py
+++ b/filbertreach_standins/gateways/_record.py
@@ -138,7 +138,7 @@
     """CLOCK_BOOTTIME until which the leaf is cold, in seconds."""
 
 
-class LeafLeaving(NamedTuple):
+class LeafDeparture(NamedTuple):
     """A period in which the answers of a leaf said that it is leaving."""
 
     leaf: str
@@ -191,7 +191,7 @@
         self.refusals: list[Refusal] = []
         self.evacuations: list[Evacuation] = []
         self.cold_phases: list[ColdPhase] = []
-        self.leavings: list[LeafLeaving] = []
+        self.departures: list[LeafDeparture] = []
         self.stops: list[PlannedStop] = []
         self.unexpected_exits: list[str] = []
         """Gateways that exited without a signal, with the end of their logs."""
--- a/filbertreach_standins/gateways/run.py
+++ b/filbertreach_standins/gateways/run.py
@@ -239,8 +239,8 @@
     if record.allowed_by_account:
         lines.append(
             f"{len(record.evacuations)} evacuations, {len(record.cold_phases)} cold phases, "
-            f"{len(record.leavings)} leaves that said they leave, {len(record.refusals)} refusals "
-            "of leaves"
+            f"{len(record.departures)} leaves that said they leave, "
+            f"{len(record.refusals)} refusals of leaves"
         )
     lines += [f"VIOLATION {text}" for text in result.violations] or ["no violations"]
     return "\n".join(lines)
--- a/filbertreach_standins/gateways/tests/test_checker.py
+++ b/filbertreach_standins/gateways/tests/test_checker.py
@@ -12,8 +12,8 @@
     Evacuation,
     Execution,
     FaultInterval,
+    LeafDeparture,
     LeafDrain,
-    LeafLeaving,
     LeafLimit,
     PlannedStop,
     Refusal,
@@ -175,7 +175,7 @@
 
 def _late_at_leaving_leaf(record: RunRecord) -> None:
     _accounts_record(record, 2, 5.1)
-    record.leavings.append(LeafLeaving("leaf-0", 199.0, 210.0))
+    record.departures.append(LeafDeparture("leaf-0", 199.0, 210.0))
 
 
 def _three_in_the_time_of_a_refusal(record: RunRecord) -> None:
@@ -280,7 +280,7 @@
     _accounts_record(record, 10, 0.5)
     record.evacuations.append(Evacuation("minho-2", 200.0, 220.0))
     record.cold_phases.append(ColdPhase("leaf-0", 2.0, 190.0, 210.0))
-    record.leavings.append(LeafLeaving("leaf-0", 199.0, 220.0))
+    record.departures.append(LeafDeparture("leaf-0", 199.0, 220.0))
     record.refusals.append(Refusal("leaf-0", "a0", 200.0, 1.2, "limited"))
     record.requests.append(
         _SCATTER._replace(
--- a/tests/test_gateway_run.py
+++ b/tests/test_gateway_run.py
@@ -37,7 +37,7 @@
     record = result.record
     assert sum(request.status == 200 for request in record.requests) > 500, summary
     assert record.evacuations, summary
-    assert record.cold_phases or record.leavings or record.refusals, summary
+    assert record.cold_phases or record.departures or record.refusals, summary
 
 
 def _children(process_id: int) -> list[int]:
