--- a/filbertreach/decisions/_account_shares.py
+++ b/filbertreach/decisions/_account_shares.py
@@ -42,7 +42,7 @@
     averaging_queries=10.0,
     # An account of which nothing is known is not refused for that reason.
     first_rate=0.1,
-    # An account of one request in some seconds is at its usual rate too.
+    # An account that sends a request only every few seconds keeps its estimated rate.
     idle_seconds=30.0,
     max_clients=10_000,
     # The level is set by AccountShares.
--- a/filbertreach/decisions/_load_return.py
+++ b/filbertreach/decisions/_load_return.py
@@ -35,7 +35,7 @@
     def add(self, leaf_id: str, now: float) -> None:
         """Adds a start, and removes those before the window."""
         self._started_at_by_leaf[leaf_id] = now
-        # A leaf that has started again begins again.
+        # A leaf that starts again counts from its latest start.
         self._started_at_by_leaf.move_to_end(leaf_id)
         self._waiting[leaf_id] = None
         self.remove_old(now)
--- a/filbertreach/decisions/tests/test_load_return.py
+++ b/filbertreach/decisions/tests/test_load_return.py
@@ -194,6 +194,7 @@
 
 
 def test_a_mass_return_concerns_all_leaves_that_started_together() -> None:
+    # Guards against the first leaves of a mass return that get all their load at once.
     pace = LoadReturn(draw=lambda: 0.5)
     assert _started(pace, 26, leaves=100) == 26
     leaves = [("l0", "dc"), ("l25", "dc"), ("other", "dc"), ("far", "dc-2")]
@@ -206,6 +207,7 @@
 
 
 def test_the_share_grows_to_one_and_an_evacuation_ends_the_return() -> None:
+    # Guards against a pace that outlasts the return.
     pace = LoadReturn(draw=lambda: 0.999)
     assert pace.share("a", "dc", 10.0) == 1.0
     pace.on_withdrawn("dc", 10.0)
--- a/filbertreach/gateway/_request_log.py
+++ b/filbertreach/gateway/_request_log.py
@@ -65,7 +65,7 @@
             }
             for call in result.calls
             if call.fault_reasons or call.extra_attempts or (call.answer is None and call.done)
-            # Calls that were not sent for a reason of the whole query have the same entry.
+            # Calls that were not sent as the whole query ended would all have the same entry.
             if call.tried_leaf_ids or result.outcome not in _OUTCOMES_OF_ALL_CALLS
         ],
     )
--- a/filbertreach/gateway/tests/test_key_revocation.py
+++ b/filbertreach/gateway/tests/test_key_revocation.py
@@ -1,4 +1,4 @@
-"""Keys at a host that no longer hears from the store, and the sum of the bound on removed keys."""
+"""Keys at a host that no longer hears from the store; time until removed keys are refused."""
 
 import pytest
 
--- a/filbertreach/gateway/tests/test_load_return.py
+++ b/filbertreach/gateway/tests/test_load_return.py
@@ -88,6 +88,7 @@
 
 
 def test_without_the_policy_load_returns_at_once() -> None:
+    # Guards against decisions that change without the section.
     host = _Host(paced=False)
     host.evacuate()
     host.evacuate(withdrawn=True)
@@ -137,6 +138,7 @@
 
 
 def test_the_first_listing_is_no_mass_return() -> None:
+    # Guards against a host that holds back load after its own start.
     assert _Host().chosen() == "minho-1"
 
 
--- a/filbertreach/gateway/tests/test_observed_leaves.py
+++ b/filbertreach/gateway/tests/test_observed_leaves.py
@@ -150,6 +150,7 @@
 
 
 def test_retries_and_hedges_are_no_probes() -> None:
+    # Guards against calls that have failed once and are sent to a failing leaf.
     host = _Host(FakeClock(start=100.0), draw=0.0)
     host.observe("failing", "a")
     assert host.choose() == "a"
@@ -159,6 +160,7 @@
 
 
 def test_a_good_answer_to_this_host_overrides_a_report() -> None:
+    # Guards against wrong reports that take a good leaf out of use.
     host = _Host(FakeClock(start=100.0), draw=0.9)
     host.observe("failing", "a")
     host.clock.advance(0.1)
@@ -167,6 +169,7 @@
 
 
 def test_a_restarted_leaf_is_used_at_once() -> None:
+    # Guards against a new process that is avoided because of the one before.
     host = _Host(FakeClock(start=100.0), leaf_ids="ab", draw=0.9)
     host.observe("failing", "a")
     assert host.choose() == "b"
--- a/filbertreach/gateway/tests/test_stopped_query.py
+++ b/filbertreach/gateway/tests/test_stopped_query.py
@@ -179,6 +179,7 @@
 
 
 def test_without_a_guard_all_shards_and_replicas_are_called() -> None:
+    # Shows the losses that the guard prevents.
     fleet = _Fleet()
     query = fleet.query(guarded=False)
 
@@ -195,7 +196,7 @@
 
 
 def test_one_lost_leaf_is_retried_as_usual() -> None:
-    # Guards against innocent requests that fail because a leaf has ended under them.
+    # Guards against requests that fail because one leaf has ended under them.
     fleet = _Fleet()
     query = fleet.query()
 
@@ -214,6 +215,7 @@
 
 
 def test_an_answer_with_enough_shards_is_returned_although_leaves_were_lost() -> None:
+    # Guards against a 502 for a query that has what its answer needs.
     fleet = _Fleet()
     query = fleet.query()
 
@@ -278,6 +280,7 @@
 
 
 def test_a_copy_in_progress_ends_when_its_content_is_quarantined() -> None:
+    # Guards against copies that were sent before the quarantine and end further leaves.
     fleet = _Fleet()
     query = fleet.query()
 
--- a/filbertreach/leaf_observations/tests/test_board.py
+++ b/filbertreach/leaf_observations/tests/test_board.py
@@ -40,6 +40,7 @@
 
 
 def test_calls_of_one_host_count_for_two_seconds() -> None:
+    # Guards against rare failures that add up over a long time.
     board = _Board()
     for _ in range(6):
         board.report("h1", "failing")
@@ -48,6 +49,7 @@
 
 
 def test_a_state_ends_after_the_last_confirmation() -> None:
+    # Guards against a leaf that stays avoided although nobody observes an exception any more.
     board = _Board()
     board.report("h1", "failing")
     board.report("h2", "failing")
@@ -65,6 +67,7 @@
 
 
 def test_good_answers_of_two_hosts_end_a_state() -> None:
+    # Guards against a recovered leaf that is avoided until its state ends by time.
     board = _Board()
     for host in ("h1", "h2", "h3"):
         board.report(host, "failing")
@@ -79,6 +82,7 @@
 
 
 def test_the_slowness_is_the_median_of_the_hosts() -> None:
+    # Guards against one wrong report that determines the slowness.
     board = _Board()
     for host, factor in (("h1", 2.5), ("h2", 3.0), ("h3", 500.0)):
         board.report(host, "slow", factor=factor)
@@ -165,6 +169,7 @@
 
 
 def test_reports_from_the_future_and_the_past_are_bounded() -> None:
+    # Guards against wrong ages that keep a state in force for too long.
     board = _Board()
     for host in ("h1", "h2"):
         board.board.record(host, {"a": Observation("failing", 1, 1.0, board.now + 60.0)}, board.now)
--- a/filbertreach/leaf_observations/tests/test_observer.py
+++ b/filbertreach/leaf_observations/tests/test_observer.py
@@ -65,6 +65,7 @@
 
 
 def test_calls_are_counted_and_slowness_is_bounded() -> None:
+    # Guards against one extreme call that determines the slowness.
     host = _Host()
     for seconds in (0.05, 2.0, 0.06):
         host.call(LeafOutcome.OK, seconds)
@@ -73,6 +74,7 @@
 
 
 def test_the_end_of_an_exception_is_reported_once() -> None:
+    # Guards against a report for each good answer.
     host = _Host()
     host.call(LeafOutcome.ERROR)
     # Nobody knows of an exception that has ended before it was reported.
@@ -100,6 +102,7 @@
 
 
 def test_a_state_ends_without_confirmation() -> None:
+    # Guards against states that stay in force when the merging host is gone.
     host = _Host()
     host.listed("failing", age_seconds=0.5)
     state = host.states.state_of("a", host.clock.now())
--- a/filbertreach/leaf_observations/tests/test_sharing.py
+++ b/filbertreach/leaf_observations/tests/test_sharing.py
@@ -112,6 +112,7 @@
 
 
 def test_all_hosts_learn_what_two_of_them_observe() -> None:
+    # Guards against states that do not reach the other hosts.
     async def run() -> None:
         gateways = _gateways()
         async with contextlib.AsyncExitStack() as stack:
--- a/filbertreach/quarantine/_request_quarantine.py
+++ b/filbertreach/quarantine/_request_quarantine.py
@@ -255,7 +255,7 @@
             evidence.is_quarantined and not self._is_in_force(entry, now)
         )
         if known is None and len(entry.evidence_by_source) >= MAX_SOURCES:
-            # The leaves count; the host that has seen them is not needed then.
+            # The lost leaves matter, not the host that saw them: they are added to another source.
             source = next(name for name in reversed(entry.evidence_by_source) if name)
         if entry.last_loss_at < now - ENTRY_SECONDS:
             entry.trial_delay_seconds = self._trial_delay(evidence.fingerprint)
--- a/filbertreach/quarantine/tests/test_leaf_checks.py
+++ b/filbertreach/quarantine/tests/test_leaf_checks.py
@@ -24,6 +24,7 @@
 
 
 def test_a_leaf_that_refuses_connections_has_ended() -> None:
+    # Guards against losses that are never counted.
     assert _check(free_address(), requests=3) == [True] * 3
 
 
@@ -35,6 +36,7 @@
 
 
 def test_a_leaf_that_resets_connections_above_its_limit_lives() -> None:
+    # Guards against a quarantine of requests during an overload.
     async def run() -> list[bool]:
         def reset(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             writer.transport.abort()
--- a/filbertreach/quarantine/tests/test_notices.py
+++ b/filbertreach/quarantine/tests/test_notices.py
@@ -105,6 +105,7 @@
 
 
 def test_the_entries_of_others_are_bounded() -> None:
+    # Guards against a faulty host that keeps the others busy.
     quarantine = _Quarantine(FakeClock(start=10.0))
     entry = _entry(quarantine)
     with pytest.raises(NoticeError):
@@ -115,6 +116,7 @@
 
 
 def test_a_host_sends_fifty_entries_per_second() -> None:
+    # Guards against messages that use up the link while many requests crash leaves.
     allowance = EntryAllowance()
     assert allowance.take(500, 1.0) == 50
     assert allowance.take(500, 1.0) == 0
--- a/filbertreach/quarantine/tests/test_request_guard.py
+++ b/filbertreach/quarantine/tests/test_request_guard.py
@@ -85,6 +85,7 @@
 
 
 def test_the_second_loss_ends_the_request(host: _Host) -> None:
+    # Guards against a third leaf that is lost under one request.
     guard = host.guard(shards=4)
     host.lose(guard, "x")
     assert guard.may_send()
@@ -103,6 +104,7 @@
 
 
 def test_a_quiet_route_is_sent_to_all_shards_at_once(host: _Host) -> None:
+    # Guards against ordinary requests that are delayed by the two stages.
     guard = host.guard(shards=90)
     assert guard.first_shards is None
     host.lose(guard, "x")
@@ -113,6 +115,7 @@
 
 
 def test_a_trial_is_sent_to_one_shard_and_ends_with_its_first_loss(host: _Host) -> None:
+    # Guards against a trial that ends more than one leaf.
     for leaf in ("x", "y"):
         host.lose(host.guard(shards=90), leaf)
     host.clock.advance(0.04)
--- a/filbertreach/quarantine/tests/test_request_quarantine.py
+++ b/filbertreach/quarantine/tests/test_request_quarantine.py
@@ -1,4 +1,4 @@
-"""Which requests are blamed for the end of leaves, without a network."""
+"""Which requests are put into quarantine when leaves end, without a network."""
 
 import random
 
@@ -46,6 +46,7 @@
 
 
 def test_one_loss_is_no_reason_to_refuse() -> None:
+    # Guards against requests that are refused because one leaf ended by itself.
     quarantine = RequestQuarantine(host="a")
     _lose(quarantine, _POISON, "x", 1.0)
     assert quarantine.verdict(_POISON, 1.5).kind == "allow"
@@ -60,7 +61,8 @@
     assert quarantine.verdict(_key(1), 10.0).kind == "allow"
 
 
-def test_copies_wait_while_it_is_not_known_who_is_to_blame() -> None:
+def test_copies_are_held_until_the_cause_is_known() -> None:
+    # Guards against copies that end further leaves, and a quarantine that is decided too soon.
     quarantine = RequestQuarantine(host="a")
     _lose(quarantine, _POISON, "x", 1.0)
     _lose(quarantine, _POISON, "y", 1.0)
@@ -70,6 +72,7 @@
 
 
 def test_the_same_leaf_counts_once() -> None:
+    # Guards against two calls to one leaf that count as two leaves.
     quarantine = RequestQuarantine(host="a")
     _lose(quarantine, _POISON, "x", 1.0)
     _lose(quarantine, _POISON, "x", 1.1)
@@ -90,6 +93,7 @@
 
 
 def test_a_trial_that_is_answered_ends_the_entry() -> None:
+    # Guards against content that stays refused after the leaves were mended.
     quarantine = _quarantined()
     quarantine.verdict(_POISON, 10.0)
     assert quarantine.verdict(_POISON, 41.0).kind == "trial"
@@ -108,7 +112,7 @@
 def test_leaves_that_end_by_themselves_quarantine_nothing(
     share: float, most_refused: int, seed: int
 ) -> None:
-    # Guards against innocent requests that are refused while leaves end for another reason.
+    # Guards against requests that are refused although leaves end for another reason.
     generator = random.Random(seed)
     quarantine = RequestQuarantine(host="a")
     refused = 0
@@ -143,7 +147,7 @@
         quarantine.on_lost(_POISON, (f"busy-{number}", 1), attempts=90, now=10.01)
         quarantine.on_ended_elsewhere((f"idle-{number}", 1), 10.01)
     assert quarantine.verdict(_POISON, 10.1).kind == "allow"
-    # Without the leaves that ended elsewhere, the request is to blame.
+    # Without the leaves that ended elsewhere, the request is the cause.
     alone = RequestQuarantine(host="a")
     _serve(alone, 500, 1.0, 9.9)
     for number in range(18):
@@ -151,7 +155,7 @@
     assert alone.verdict(_POISON, 10.1).kind == "refuse"
 
 
-def test_a_content_that_leaves_have_run_is_not_blamed_for_two_ends() -> None:
+def test_content_that_leaves_have_run_is_not_quarantined_for_two_ends() -> None:
     # Guards against a quarantine of the content that most callers send, when two leaves end.
     quarantine = RequestQuarantine(host="a")
     for number in range(200):
@@ -177,6 +181,7 @@
 
 
 def test_another_host_is_believed_if_it_names_two_leaves() -> None:
+    # Guards against a host that can block content without evidence.
     quarantine = RequestQuarantine(host="b")
     evidence = QuarantineEvidence(_POISON, (("x", 1), ("y", 1)), 2, True, 0.1)
     assert (
--- a/filbertreach_standins/gateways/_account_fault_kinds.py
+++ b/filbertreach_standins/gateways/_account_fault_kinds.py
@@ -58,7 +58,7 @@
     context.wait(context.record.bound_seconds + context.rng.uniform(2.0, 5.0))
     context.record.departures.append(LeafDeparture(leaf.id, started_at, _CLOCK.now()))
     leaf.set_faults(leaving=None)
-    # Only another start ends what a leaf has said of itself.
+    # Gateways avoid a leaf that said it leaves until its entry is that of a new process.
     context.deployment.write_leaf_entry(leaf, is_restart=True)
 
 
--- a/filbertreach_standins/gateways/run.py
+++ b/filbertreach_standins/gateways/run.py
@@ -31,8 +31,11 @@
 _MAX_PAUSE_SECONDS = 1.5
 """Longest pause of an injector between two faults."""
 _MIN_KINDS = 3
+"""Least number of kinds of faults of a run without accounts."""
 _MIN_ACCOUNT_KINDS = 2
+"""Least number of kinds of a run with accounts that only such runs have."""
 _MAX_KINDS_BESIDE_ACCOUNTS = 3
+"""Largest number of other kinds of such a run. Faults of gateways suspend the checks of bounds."""
 _CALLERS = 6
 _RECOVERY_SECONDS = 8.0
 """Time after the last fault within which the deployment must recover."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -108,7 +108,7 @@
 
 
 def test_nothing_is_quarantined_while_leaves_end_by_themselves(fleet: _Fleet) -> None:
-    """Guards against innocent requests that are refused because leaves end under them."""
+    """Guards against requests that are refused although leaves end for another reason."""
     statuses: list[int] = []
     stopped = threading.Event()
 
