--- a/filbertreach/gateway/_query.py
+++ b/filbertreach/gateway/_query.py
@@ -402,8 +402,8 @@
         for call in self.calls:
             call.stop(cancel=cancel)
 
-    def admission_fields(self) -> dict[str, Any]:
-        """Returns the fields of the log line that state what admission decided."""
+    def log_fields(self) -> dict[str, Any]:
+        """Returns the fields of the log line for the reserve, admission and lost leaves."""
         fields: dict[str, Any] = {}
         if self._reserve is not None:
             fields["reserve_ms"] = round(self._reserve_seconds * 1000, 1)
--- a/filbertreach/gateway/_request_log.py
+++ b/filbertreach/gateway/_request_log.py
@@ -54,7 +54,7 @@
         included=result.included,
         shards=len(result.calls),
         **({} if account is None else {"account": account.name}),
-        **query.admission_fields(),
+        **query.log_fields(),
         exceptions=[
             {
                 "service": call.pool.service,
--- a/filbertreach/gateway/tests/test_query.py
+++ b/filbertreach/gateway/tests/test_query.py
@@ -618,7 +618,7 @@
         if admission and refused:
             assert (result.answer.status, result.outcome, sent) == (503, "overloaded", 0)
             assert 1.0 < float(_headers(result)[b"retry-after"]) < 3.0
-            assert query.admission_fields()["refused_because"] == "objective"
+            assert query.log_fields()["refused_because"] == "objective"
         else:
             assert result.answer.status == 200 and sent >= 3
 
@@ -705,7 +705,7 @@
             return
         assert (result.answer.status, result.outcome) == (503, "overloaded")
         assert clock.now() - began < 0.15
-        assert query.admission_fields()["refused_because"] == "window"
+        assert query.log_fields()["refused_because"] == "window"
         assert window.in_progress == 2
         assert not any(leaf.requests for leaves in fleet.leaves.values() for leaf in leaves)
 
