--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -365,7 +365,8 @@
     tmp_path: pathlib.Path,
 ) -> None:
     """Guards against a policy that the process does not apply, and refusals after a flood."""
-    options = DeploymentOptions(gateways=1, policy="[admission]\nenabled = true\n")
+    policy = "[admission]\nenabled = true\n[caller_reserve]\nenabled = true\n"
+    options = DeploymentOptions(gateways=1, policy=policy)
     with Deployment(options=options, folder=tmp_path) as deployment:
         gateway = deployment.gateways[0]
         assert gateway.request("/v1/x").status == 200
