Decisions: the reserve counts the transmission of an answer twice instead of a margin of 5 ms

Cause: what makes answers late beyond the measured terms depends on the link.

Change: margin of 2 ms, and twice the time that the answer and what leaves before it need on the link.

--- a/filbertreach/decisions/_caller_reserve.py
+++ b/filbertreach/decisions/_caller_reserve.py
@@ -9,10 +9,12 @@
 """Smallest reserve; enough for hosts with a fast link and little work."""
 _DEFAULT_ROUND_TRIP_SECONDS = 0.006
 """Round trip to a caller of the same region, assumed where the kernel does not state it."""
-_MARGIN_SECONDS = 0.005
-"""Time for what is not observed, such as the queues of the network. Leaves that have not answered
-by then are mostly paused, so waiting these milliseconds longer would add few shards."""
-_DEFAULT_LOOP_DELAY_SECONDS = 0.005
+_MARGIN_SECONDS = 0.002
+"""Variation of the network delay."""
+_TRANSMISSION_FACTOR = 2.0
+"""Multiple of the time that the answer needs alone on the link of the host, which it shares
+with what else the host sends meanwhile."""
+_DEFAULT_LOOP_DELAY_SECONDS = 0.008
 """Delay of the event loop that is reserved until it has been observed."""
 _MAX_OBJECTIVE_SHARE = 0.5
 """Largest share of the objective that is reserved. An answer with few shards is worth little."""
@@ -194,7 +196,7 @@
             + max(observed, work)
             + (self._finish_times.quantile(_DELAY_QUANTILE) or 0.0)
             + arrival_seconds
-            + leaving / self._link_bytes_per_second
+            + _TRANSMISSION_FACTOR * leaving / self._link_bytes_per_second
         )
         largest = _MAX_OBJECTIVE_SHARE * objective_seconds
         return max(MIN_CALLER_RESERVE_SECONDS, min(reserve, largest))
