--- a/experiments/gateway_admission.py
+++ b/experiments/gateway_admission.py
@@ -12,9 +12,8 @@
 import collections
 import json
 import random
-import selectors
 from collections.abc import Callable
-from typing import Any, NamedTuple, cast
+from typing import NamedTuple, cast
 
 from filbertreach.decisions import AdmissionWindow, LateShardLatencies
 from filbertreach.document import Leaf, Route
@@ -27,6 +26,7 @@
 from filbertreach.gateway._route_latencies import RouteLatencies
 from filbertreach.gateway._service_pool import ServicePool
 from filbertreach.platform import Bounds, CallerRequest, LeafAnswer, LeafEntry, LeafLoad
+from filbertreach_standins.virtual_time import VirtualTimeLoop
 
 SHARDS = 10
 REGIONS = ("a", "b", "c")
@@ -88,32 +88,8 @@
     """Begin and end of the flood, end of the run."""
 
 
-class _VirtualLoop(asyncio.SelectorEventLoop):
-    """An event loop whose clock jumps to the next timer instead of waiting for it."""
-
-    def __init__(self) -> None:
-        super().__init__(selectors.SelectSelector())
-        self._virtual_now = 1000.0
-        selector = cast("Any", self)._selector
-        selector.select = self._advance
-
-    def time(self) -> float:
-        return self._virtual_now
-
-    def now(self) -> float:
-        """Returns the time, as a `Clock` of the gateway."""
-        return self._virtual_now
-
-    def _advance(self, timeout: float | None) -> list[Any]:
-        if timeout is None:
-            raise RuntimeError("nothing is scheduled in the model")
-        # The event loop runs timers only if the clock has reached them despite rounding.
-        self._virtual_now += max(0.0, timeout) + (1e-9 if timeout > 0 else 0.0)
-        return []
-
-
 class _ModelLeaf:
-    def __init__(self, loop: _VirtualLoop, rng: random.Random, factor: float) -> None:
+    def __init__(self, loop: VirtualTimeLoop, rng: random.Random, factor: float) -> None:
         self.work_by_request: dict[Exchange, float] = {}
         self._loop = loop
         self._factor = factor
@@ -156,7 +132,7 @@
 class _ModelConnection:
     """Stands for a LeafConnection; abandoning it completes the exchange as the real one does."""
 
-    def __init__(self, loop: _VirtualLoop, exchange: Exchange) -> None:
+    def __init__(self, loop: VirtualTimeLoop, exchange: Exchange) -> None:
         self._loop = loop
         self._exchange = exchange
 
@@ -221,7 +197,7 @@
 class Fleet:
     """Hosts, leaves and callers of one scenario."""
 
-    def __init__(self, scenario: Scenario, loop: _VirtualLoop) -> None:
+    def __init__(self, scenario: Scenario, loop: VirtualTimeLoop) -> None:
         """Creates idle hosts and leaves.
 
         Args:
@@ -366,8 +342,8 @@
         that was refused in it.
     """
     random.seed(scenario.seed)
-    with asyncio.Runner(loop_factory=_VirtualLoop) as runner:
-        loop = cast("_VirtualLoop", runner.get_loop())
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        loop = cast("VirtualTimeLoop", runner.get_loop())
         outcomes = runner.run(Fleet(scenario, loop).run())
     begin, end, run_end = scenario.clocks
     # The first second is left out, as no latencies are known in it.
