--- a/filbertreach/gateway/_discovery.py
+++ b/filbertreach/gateway/_discovery.py
@@ -1,18 +1,24 @@
 """Follows the platform's store, directly or through the neighbour that is the reader."""
 
 import random
-from collections.abc import Awaitable, Callable, Sequence
-from typing import Protocol
+from collections.abc import Awaitable, Callable, Iterable, Sequence
+from typing import NamedTuple, Protocol
 
 import anyio
 from returns.result import Failure, Result, Success
 
 from filbertreach.gateway._change_log import ChangeLog, decode_change
-from filbertreach.gateway._metrics import READER_POLLS, STORE_AGE, STORE_CALLS
+from filbertreach.gateway._metrics import (
+    READER_POLLS,
+    STORE_AGE,
+    STORE_CALLS,
+    STORE_EXCHANGE_SECONDS,
+)
 from filbertreach.gateway._neighbours import NeighbourError
 from filbertreach.observability import get_logger
 from filbertreach.platform import (
     ALL_KEYS,
+    OPERATOR_PREFIX,
     Bounds,
     DeploymentStore,
     HistoryLostError,
@@ -54,6 +60,16 @@
 
 _LOGGER = get_logger(__name__)
 
+
+class _Exchange(NamedTuple):
+    """An answered call that brought changes of the store."""
+
+    source: str
+    """Kind of a call to the store, or `neighbour`."""
+    sent_at: float
+    """Clock when the call was sent, in seconds."""
+
+
 OnListing = Callable[[StoredListing, float], None]
 OnChange = Callable[[str, StoredItem | None, float], None]
 
@@ -160,13 +176,14 @@
 
     async def _read_store(self, revision: int | None, *, is_reader: bool) -> None:
         error = None
+        sent_at = self._clock.now()
         if revision is None:
             kind = "list"
-            requested_at = self._clock.now()
             match await self._store.list_prefix(ALL_KEYS):
                 case Success(listing):
+                    self._record_exchange(listing.item_by_key.values(), _Exchange(kind, sent_at))
                     self._on_listing(listing, self._change_log.as_of)
-                    self._change_log.reset(revision=listing.revision, as_of=requested_at)
+                    self._change_log.reset(revision=listing.revision, as_of=sent_at)
                     self._may_have_missed = False
                 case Failure(error):
                     pass
@@ -180,6 +197,7 @@
                     as_of = previous_as_of if self._may_have_missed else self._clock.now()
                     # How long the answer took tells nothing about when the changes were made: it
                     # may have been delayed by the store, the network or this process.
+                    self._record_exchange(batch.changes, _Exchange(kind, sent_at))
                     self._apply(batch.changes, batch.revision, as_of=as_of, since=previous_as_of)
                     if batch.changes and is_reader and not self._may_have_missed:
                         await self._sleep(_BATCH_DELAY_SECONDS)
@@ -223,7 +241,7 @@
         ):
             case Success(reply):
                 self._log_source(reader["name"])
-                outcome = self._apply_reply(reply, revision)
+                outcome = self._apply_reply(reply, revision, _Exchange("neighbour", now))
             case Failure(error):
                 outcome = "failed"
                 _LOGGER.info("neighbour did not answer", neighbour=reader["name"], error=str(error))
@@ -231,11 +249,12 @@
         if outcome in ("failed", "stale"):
             self._neighbours.exclude(reader["name"])
 
-    def _apply_reply(self, reply: StoreNews, revision: int) -> str:
+    def _apply_reply(self, reply: StoreNews, revision: int, exchange: _Exchange) -> str:
         if not reply["complete"]:
             self._may_have_missed = True
             return "missed"
         changes = [decode_change(item) for item in reply["changes"] if item["revision"] > revision]
+        self._record_exchange(changes, exchange)
         as_of = self._clock.now() - reply["age_seconds"]
         self._apply(changes, reply["revision"], as_of=as_of, since=self._change_log.as_of)
         return "stale" if reply["age_seconds"] > _STALE_SECONDS else "ok"
@@ -248,6 +267,25 @@
         self._change_log.append(changes)
         self._change_log.confirm(revision=revision, as_of=as_of)
 
+    def _record_exchange(
+        self, changes: Iterable[StoredItem | StoredChange], exchange: _Exchange
+    ) -> None:
+        """Records how an answer with changes came, before the changes are applied."""
+        now = self._clock.now()
+        exchange_seconds = now - exchange.sent_at
+        if changes:
+            STORE_EXCHANGE_SECONDS.labels(exchange.source).observe(exchange_seconds)
+        for change in changes:
+            if change.key.startswith(OPERATOR_PREFIX):
+                _LOGGER.info(
+                    "operator change received",
+                    key=change.key,
+                    revision=change.revision,
+                    source=exchange.source,
+                    exchange_s=round(exchange_seconds, 3),
+                    data_age_s=round(now - max(self._started_at, self._change_log.as_of), 3),
+                )
+
     def _log_source(self, name: str | None) -> None:
         """Logs whether this host follows the store itself or through a neighbour, on a change."""
         if name != self._logged_source:
--- a/filbertreach/gateway/_metrics.py
+++ b/filbertreach/gateway/_metrics.py
@@ -101,6 +101,12 @@
     "filbertreach_gateway_store_age_seconds",
     "Age of what is known of the store",
 )
+STORE_EXCHANGE_SECONDS = prometheus_client.Histogram(
+    "filbertreach_gateway_store_exchange_seconds",
+    "Time of an exchange that brought changes of the store, its wait for them included",
+    ["source"],
+    buckets=LATENCY_BUCKETS,
+)
 LEAVES = prometheus_client.Gauge("filbertreach_gateway_leaves", "Leaves that may get requests")
 
 _MAX_RANK_LABEL = 3
--- a/filbertreach/platform/__init__.py
+++ b/filbertreach/platform/__init__.py
@@ -74,6 +74,7 @@
 )
 from filbertreach.platform._operator_routes import (
     EVACUATIONS_PREFIX,
+    OPERATOR_PREFIX,
     ROUTES_KEY,
     RoutesError,
     decode_routes,
@@ -87,6 +88,7 @@
     "LEAVES_PREFIX",
     "MAX_DRAFT_PROBLEMS",
     "MAX_VALUE_BYTES",
+    "OPERATOR_PREFIX",
     "READY_PATH",
     "ROUTES_KEY",
     "SETTINGS_VARIABLE",
--- a/filbertreach/platform/_operator_routes.py
+++ b/filbertreach/platform/_operator_routes.py
@@ -25,6 +25,8 @@
     PositiveInt64,
 )
 
+OPERATOR_PREFIX = "op/"
+"""Prefix of the keys that operators write."""
 ROUTES_KEY = "op/config"
 """Key of the current configuration."""
 EVACUATIONS_PREFIX = "op/evacuate/"
