--- /dev/null
+++ b/filbertreach/gateway/tests/test_configuration_bound.py
@@ -0,0 +1,305 @@
+"""A change of the configuration reaches each host within its bound, however late answers arrive.
+
+Followers, change logs and the choice of the reader are those of the gateway; the store, the links
+and the time are simulated.
+"""
+
+import asyncio
+import random
+from typing import Any, NamedTuple, cast
+
+import anyio
+import pytest
+from returns.result import Failure, Result, Success
+
+from filbertreach.gateway._change_log import ChangeLog
+from filbertreach.gateway._discovery import StoreFollower
+from filbertreach.gateway._neighbours import NeighbourError, Neighbours
+from filbertreach.platform import (
+    PlatformError,
+    PlatformUnavailableError,
+    StoredChange,
+    StoredChanges,
+    StoredItem,
+    StoredListing,
+)
+from filbertreach.schema import KnownHost, StoreNews
+from filbertreach_standins.virtual_time import VirtualTimeLoop
+
+_BOUND_SECONDS = 5.0
+"""Bound on configuration of the deployments in which one host reads the store for others."""
+_CALL_TIMEOUT_SECONDS = 0.7
+"""Timeout of a call to the store and to a neighbour, besides the wait that it asks for."""
+_NEAR_SECONDS = 0.001
+_STORE_LINK_SECONDS = 0.015
+_CONFIGURATION_KEY = "op/config"
+_HOSTS = 5
+
+
+class _Link:
+    """Link of a host, which its exchanges with the store and with neighbours share."""
+
+    def __init__(self) -> None:
+        self.in_seconds = 0.0
+        """Additional time of messages that arrive at the host."""
+        self.out_seconds = 0.0
+        """Additional time of messages that the host sends."""
+        self.is_cut = False
+
+    async def send(self, seconds: float) -> None:
+        """Carries a message of the host that takes a time without disturbance."""
+        if self.is_cut:
+            await anyio.sleep_forever()
+        await anyio.sleep(seconds + self.out_seconds)
+
+    async def receive(self, seconds: float) -> None:
+        """Carries a message to the host that takes a time without disturbance."""
+        await anyio.sleep(seconds + self.in_seconds)
+        if self.is_cut:
+            await anyio.sleep_forever()
+
+
+class _Store:
+    """Store that holds the configuration; each change has the next revision."""
+
+    def __init__(self, loop: VirtualTimeLoop) -> None:
+        self.written_at: list[float] = []
+        """Time of each change; that of revision N is at N - 1."""
+        self._loop = loop
+        self._changed = anyio.Event()
+
+    @property
+    def revision(self) -> int:
+        return len(self.written_at)
+
+    def write(self) -> None:
+        self.written_at.append(self._loop.now())
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def item(self) -> StoredItem:
+        return StoredItem(_CONFIGURATION_KEY, b"{}", self.revision)
+
+    async def wait_beyond(self, revision: int, seconds: float) -> None:
+        with anyio.move_on_after(seconds):
+            while self.revision <= revision:
+                await self._changed.wait()
+
+
+class _StoreClient:
+    """Client of the store over the link of a host."""
+
+    def __init__(self, store: _Store, link: _Link) -> None:
+        self._store = store
+        self._link = link
+
+    async def list_prefix(self, prefix: str) -> Result[Any, PlatformError]:
+        with anyio.move_on_after(_CALL_TIMEOUT_SECONDS):
+            await self._link.send(_STORE_LINK_SECONDS)
+            item = self._store.item()
+            listing = StoredListing({item.key: item}, self._store.revision)
+            await self._link.receive(_STORE_LINK_SECONDS)
+            return Success(listing)
+        return Failure(PlatformUnavailableError("no answer"))
+
+    async def watch(
+        self, prefix: str, *, after: int, wait_seconds: float
+    ) -> Result[Any, PlatformError]:
+        with anyio.move_on_after(_CALL_TIMEOUT_SECONDS + wait_seconds):
+            await self._link.send(_STORE_LINK_SECONDS)
+            await self._store.wait_beyond(after, wait_seconds)
+            revision = self._store.revision
+            item = self._store.item()
+            change = StoredChange(item.key, item, revision)
+            changes = (change,) if revision > after else ()
+            await self._link.receive(_STORE_LINK_SECONDS)
+            return Success(StoredChanges(changes, revision))
+        return Failure(PlatformUnavailableError("no answer"))
+
+
+class _Host:
+    """A host that follows the store."""
+
+    def __init__(self, number: int, fleet: "_Fleet") -> None:
+        self.known = KnownHost(
+            name=f"host-{number}", address=f"10.0.0.{number + 1}:1", data_centre="minho-1"
+        )
+        self.link = _Link()
+        self.change_log = ChangeLog(clock=fleet.loop)
+        self.in_force_at: dict[int, float] = {}
+        """Time from which each revision of the configuration, or a newer one, is in force."""
+        self.neighbours = _SimulatedNeighbours(self, fleet)
+        self.follower = StoreFollower(
+            store=cast("Any", _StoreClient(fleet.store, self.link)),
+            on_listing=lambda listing, since: self._apply(listing.item_by_key[_CONFIGURATION_KEY]),
+            on_change=lambda key, item, since: self._apply(item),
+            change_log=self.change_log,
+            clock=fleet.loop,
+            host=self.known["name"],
+            neighbours=self.neighbours,
+        )
+        self._loop = fleet.loop
+
+    def _apply(self, item: StoredItem | None) -> None:
+        assert item is not None
+        for revision in range(1, item.revision + 1):
+            self.in_force_at.setdefault(revision, self._loop.now())
+
+
+class _SimulatedNeighbours(Neighbours):
+    """The choice of the reader, with exchanges over simulated links."""
+
+    def __init__(self, host: _Host, fleet: "_Fleet") -> None:
+        known = host.known
+        super().__init__(
+            host=known["name"],
+            address=known["address"],
+            data_centre=known["data_centre"],
+            seeds=(),
+            clock=fleet.loop,
+        )
+        self._host = host
+        self._fleet = fleet
+
+    async def fetch_changes(
+        self, reader: KnownHost, *, after: int, wait_seconds: float, **options: Any
+    ) -> Result[StoreNews, NeighbourError]:
+        other = self._fleet.host_by_name[reader["name"]]
+        with anyio.move_on_after(_CALL_TIMEOUT_SECONDS + wait_seconds):
+            await self._host.link.send(_NEAR_SECONDS)
+            await other.link.receive(0.0)
+            reply = await other.change_log.changes_since(
+                after, wait_seconds=wait_seconds, **options
+            )
+            await other.link.send(0.0)
+            await self._host.link.receive(_NEAR_SECONDS)
+            return Success(reply)
+        return Failure(NeighbourError("no answer"))
+
+
+class _Late(NamedTuple):
+    """A host that used a configuration for too long."""
+
+    host: str
+    revision: int
+    seconds: float
+
+
+class _Fleet:
+    """Hosts of one data centre; a context manager is not needed, as tasks end with the run."""
+
+    def __init__(self, loop: VirtualTimeLoop) -> None:
+        self.loop = loop
+        self.store = _Store(loop)
+        self.hosts = [_Host(number, self) for number in range(_HOSTS)]
+        self.host_by_name = {host.known["name"]: host for host in self.hosts}
+        for host in self.hosts:
+            for other in self.hosts:
+                if other is not host:
+                    host.neighbours.on_announcement(other.known, known_digest="")
+
+    def reader(self) -> _Host:
+        """Returns the host that the others follow while nothing is disturbed."""
+        for host in self.hosts:
+            if host.neighbours.reader() is None:
+                return host
+        raise AssertionError("no host reads the store")
+
+    def late(self, *, except_host: _Host | None = None) -> list[_Late]:
+        """Returns the changes that were in force too late at hosts besides one."""
+        found = []
+        for host in self.hosts:
+            if host is except_host:
+                continue
+            for revision, written_at in enumerate(self.store.written_at, start=1):
+                seconds = host.in_force_at.get(revision, self.loop.now()) - written_at
+                if seconds > _BOUND_SECONDS:
+                    found.append(_Late(host.known["name"], revision, round(seconds, 3)))
+        return found
+
+
+def _run(scenario: Any, *, seed: int = 1) -> list[_Late]:
+    """Runs a scenario with the hosts of a fleet; returns what it returns."""
+    random.seed(seed)
+
+    async def main(loop: VirtualTimeLoop) -> list[_Late]:
+        fleet = _Fleet(loop)
+        fleet.store.write()
+        async with anyio.create_task_group() as group:
+            for host in fleet.hosts:
+                group.start_soon(host.follower.run)
+            late: list[_Late] = await scenario(fleet)
+            group.cancel_scope.cancel()
+        return late
+
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        loop = cast("VirtualTimeLoop", runner.get_loop())
+        return runner.run(main(loop))
+
+
+@pytest.mark.parametrize("delay_seconds", [0.0, 0.6, 1.2, 1.8, 2.4, 2.65])
+def test_answers_that_a_reader_sends_late_do_not_make_old_data_look_current(
+    delay_seconds: float,
+) -> None:
+    # Guards against taking an answer for current when it arrives: the link of the reader delayed
+    # its answers, then it went silent, and hosts that reach the store used an old configuration for
+    # longer than the bound.
+    async def scenario(fleet: _Fleet, offset_seconds: float) -> list[_Late]:
+        await anyio.sleep(8.0 + offset_seconds)
+        reader = fleet.reader()
+        reader.link.out_seconds = delay_seconds
+        fleet.store.write()
+        await anyio.sleep(0.1)
+        fleet.store.write()
+        reader.link.is_cut = True
+        await anyio.sleep(_BOUND_SECONDS + 1.0)
+        return fleet.late(except_host=reader)
+
+    for tenth in range(16):
+        assert _run(lambda fleet, offset=0.1 * tenth: scenario(fleet, offset)) == []
+
+
+@pytest.mark.parametrize("seed", [525, 959, *range(40)])
+def test_a_slow_link_of_the_reader_delays_no_change_beyond_the_bound(seed: int) -> None:
+    # Guards against delays that add up between the store, the reader and the hosts that follow it.
+    async def scenario(fleet: _Fleet) -> list[_Late]:
+        rng = random.Random(seed)
+        await anyio.sleep(5.0)
+        reader = fleet.reader()
+        for _ in range(rng.randrange(2, 8)):
+            reader.link.out_seconds = rng.choice([0.0, 0.3, 0.6, 0.9, 1.2, 1.8, 2.4])
+            reader.link.in_seconds = rng.choice([0.0, 0.0, 0.3, 0.6, 1.2, 1.8])
+            await anyio.sleep(rng.uniform(0.05, 2.0))
+            fleet.store.write()
+        reader.link.is_cut = True
+        await anyio.sleep(rng.uniform(0.0, 0.5))
+        fleet.store.write()
+        await anyio.sleep(_BOUND_SECONDS + 4.0)
+        return fleet.late(except_host=reader)
+
+    assert _run(scenario, seed=seed) == []
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_disturbed_neighbours_delay_no_change_beyond_the_bound(seed: int) -> None:
+    # Guards against hosts that believe for too long what several disturbed hosts say of the store.
+    async def scenario(fleet: _Fleet) -> list[_Late]:
+        rng = random.Random(seed)
+        await anyio.sleep(5.0)
+        disturbed = rng.sample(fleet.hosts, _HOSTS - 2)
+        for _ in range(60):
+            await anyio.sleep(rng.uniform(0.1, 1.0))
+            link = rng.choice(disturbed).link
+            link.out_seconds = rng.choice([0.0, 0.0, 0.3, 0.6, 1.2, 2.0])
+            link.in_seconds = rng.choice([0.0, 0.0, 0.3, 0.6, 1.2, 2.0])
+            link.is_cut = rng.random() < 0.2
+            if rng.random() < 0.4:
+                fleet.store.write()
+        await anyio.sleep(_BOUND_SECONDS + 1.0)
+        return [late for late in fleet.late() if late.host not in _names(disturbed)]
+
+    assert _run(scenario, seed=seed) == []
+
+
+def _names(hosts: list[_Host]) -> set[str]:
+    return {host.known["name"] for host in hosts}
