--- a/filbertreach/gateway/_change_log.py
+++ b/filbertreach/gateway/_change_log.py
@@ -102,18 +102,22 @@
         Returns:
             The changes, marked as incomplete if some of them are no longer retained.
         """
+        asked_at = self._clock.now()
         if self.revision is None or revision >= self.revision:
             confirmed = self._confirmed
             with anyio.move_on_after(wait_seconds):
                 await confirmed.wait()
         if self.revision is None:
-            return StoreNews(complete=False, revision=0, age_seconds=0.0, changes=[])
+            return StoreNews(
+                complete=False, revision=0, age_seconds=0.0, held_seconds=0.0, changes=[]
+            )
         complete = revision >= self._complete_after
         changes = [c for c in self._changes if c.revision > revision] if complete else []
         return StoreNews(
             complete=complete,
             revision=self.revision,
             age_seconds=self.age_seconds,
+            held_seconds=self._clock.now() - asked_at,
             changes=[_encode_change(change) for change in changes],
         )
 
--- a/filbertreach/gateway/_discovery.py
+++ b/filbertreach/gateway/_discovery.py
@@ -7,14 +7,15 @@
 import anyio
 from returns.result import Failure, Result, Success
 
+from filbertreach.gateway._answer_time import given_after, watch_hold
 from filbertreach.gateway._change_log import ChangeLog, decode_change
 from filbertreach.gateway._metrics import (
     READER_POLLS,
     STORE_AGE,
     STORE_CALLS,
-    STORE_EXCHANGE_SECONDS,
+    STORE_TRANSIT_SECONDS,
 )
-from filbertreach.gateway._neighbours import NeighbourError
+from filbertreach.gateway._neighbours import EXCHANGE_TIMEOUT_SECONDS, NeighbourError
 from filbertreach.observability import get_logger
 from filbertreach.platform import (
     ALL_KEYS,
@@ -38,15 +39,15 @@
 """Delay after a watch that returned changes. Each call to the store is charged for and changes come
 in groups, so the next watch returns the rest of a group at once."""
 _STALE_SECONDS = 2.4
-"""Age of its data at which a host that follows a neighbour calls the store itself. Longer than a
-reader's watch and its delay; short enough to meet the bounds after two lost exchanges."""
+"""Age of its data at which a host that follows a neighbour calls the store itself. Longer than two
+watches of a reader of which the first one is cut short by a change; short enough to meet the bounds
+after two lost exchanges."""
 _CATCH_UP_SECONDS = 0.001
 """Wait of a watch that only fetches missed changes."""
 _FULL_BATCH = 50
 """Number of changes in one watch from which on there may be more, because the store limits what one
 watch returns."""
-_POLL_SECONDS = 2.0
-"""Longest wait for changes from the reader, which confirms its data at least as often."""
+_MIN_WATCH_SECONDS = 0.1
 _MIN_POLL_SECONDS = 0.1
 _MIN_READER_SHARING_SECONDS = 4.5
 """Smallest bound on configuration, draining and evacuation with which one host of a data centre
@@ -62,12 +63,28 @@
 
 
 class _Exchange(NamedTuple):
-    """An answered call that brought changes of the store."""
+    """An answered call to the store or to the reader."""
 
     source: str
     """Kind of a call to the store, or `neighbour`."""
     sent_at: float
     """Clock when the call was sent, in seconds."""
+    received_at: float
+    """Clock when the answer was received, in seconds."""
+    held_seconds: float
+    """Time for which the answering side held the call, as far as it is known, in seconds."""
+
+    @property
+    def given_after(self) -> float:
+        """Latest clock before which the answer was certainly not given, in seconds."""
+        return given_after(
+            sent_at=self.sent_at, held_seconds=self.held_seconds, received_at=self.received_at
+        )
+
+    @property
+    def transit_seconds(self) -> float:
+        """Time of the exchange besides the time for which the call is known to have been held."""
+        return self.received_at - self.given_after
 
 
 OnListing = Callable[[StoredListing, float], None]
@@ -175,42 +192,73 @@
     # Reading the store.
 
     async def _read_store(self, revision: int | None, *, is_reader: bool) -> None:
-        error = None
-        sent_at = self._clock.now()
         if revision is None:
             kind = "list"
-            match await self._store.list_prefix(ALL_KEYS):
-                case Success(listing):
-                    self._record_exchange(listing.item_by_key.values(), _Exchange(kind, sent_at))
-                    self._on_listing(listing, self._change_log.as_of)
-                    self._change_log.reset(revision=listing.revision, as_of=sent_at)
-                    self._may_have_missed = False
-                case Failure(error):
-                    pass
+            error = await self._list_store()
         else:
             kind = "watch" if is_reader else "catch up"
-            wait_seconds = self._watch_seconds if is_reader else _CATCH_UP_SECONDS
-            match await self._store.watch(ALL_KEYS, after=revision, wait_seconds=wait_seconds):
-                case Success(batch):
-                    self._may_have_missed = len(batch.changes) >= _FULL_BATCH
-                    previous_as_of = self._change_log.as_of
-                    as_of = previous_as_of if self._may_have_missed else self._clock.now()
-                    # How long the answer took tells nothing about when the changes were made: it
-                    # may have been delayed by the store, the network or this process.
-                    self._record_exchange(batch.changes, _Exchange(kind, sent_at))
-                    self._apply(batch.changes, batch.revision, as_of=as_of, since=previous_as_of)
-                    if batch.changes and is_reader and not self._may_have_missed:
-                        await self._sleep(_BATCH_DELAY_SECONDS)
-                case Failure(HistoryLostError()):
-                    _LOGGER.warning("history lost", after=revision)
-                    self._change_log.revision = None
-                case Failure(error):
-                    pass
-        STORE_CALLS.labels(kind, "ok" if error is None else type(error).__name__).inc()
+            error = await self._watch_store(kind, revision)
+        outcome = "ok" if error is None else type(error).__name__
+        STORE_CALLS.labels(kind, outcome).inc()
         if is_reader:
             self._log_source(None)
+        if isinstance(error, HistoryLostError):
+            _LOGGER.warning("history lost", after=revision)
+            self._change_log.revision = None
+            error = None
         self._track_failures(error)
 
+    async def _list_store(self) -> PlatformError | None:
+        """Lists all keys; returns the error if that fails."""
+        sent_at = self._clock.now()
+        match await self._store.list_prefix(ALL_KEYS):
+            case Failure(error):
+                assert isinstance(error, PlatformError)
+                return error
+            case Success(listing):
+                pass
+        exchange = _Exchange("list", sent_at, self._clock.now(), held_seconds=0.0)
+        self._record_exchange(listing.item_by_key.values(), exchange)
+        self._on_listing(listing, self._change_log.as_of)
+        self._change_log.reset(revision=listing.revision, as_of=exchange.given_after)
+        self._may_have_missed = False
+        return None
+
+    async def _watch_store(self, kind: str, revision: int) -> PlatformError | None:
+        """Watches the store once; returns the error if that fails."""
+        is_reader = kind == "watch"
+        wait_seconds = self._watch_wait() if is_reader else _CATCH_UP_SECONDS
+        sent_at = self._clock.now()
+        match await self._store.watch(ALL_KEYS, after=revision, wait_seconds=wait_seconds):
+            case Failure(error):
+                assert isinstance(error, PlatformError)
+                return error
+            case Success(batch):
+                pass
+        received_at = self._clock.now()
+        held_seconds = watch_hold(
+            wait_seconds=wait_seconds,
+            exchange_seconds=received_at - sent_at,
+            has_changes=bool(batch.changes),
+        )
+        exchange = _Exchange(kind, sent_at, received_at, held_seconds)
+        self._record_exchange(batch.changes, exchange)
+        self._may_have_missed = len(batch.changes) >= _FULL_BATCH
+        previous_as_of = self._change_log.as_of
+        as_of = previous_as_of if self._may_have_missed else exchange.given_after
+        self._apply(batch.changes, batch.revision, as_of=as_of, since=previous_as_of)
+        if batch.changes and is_reader and not self._may_have_missed:
+            await self._sleep(_BATCH_DELAY_SECONDS)
+        return None
+
+    def _watch_wait(self) -> float:
+        """Returns the wait of the reader's next watch, in seconds.
+
+        An answer with changes confirms the data only as of its request, so the watch after it ends
+        earlier.
+        """
+        return max(_MIN_WATCH_SECONDS, self._watch_seconds - self._change_log.age_seconds)
+
     def _track_failures(self, error: PlatformError | None) -> None:
         now = self._clock.now()
         if error is None:
@@ -234,14 +282,16 @@
 
     async def _poll_reader(self, reader: KnownHost, revision: int, now: float) -> None:
         assert self._neighbours is not None
-        due = max(self._retry_at, self._change_log.as_of + _STALE_SECONDS)
-        wait_seconds = min(_POLL_SECONDS, max(_MIN_POLL_SECONDS, due - now))
-        match await self._neighbours.fetch_changes(
-            reader, after=revision, wait_seconds=wait_seconds
-        ):
+        result = await self._neighbours.fetch_changes(
+            reader, after=revision, wait_seconds=self._poll_wait(now)
+        )
+        match result:
             case Success(reply):
                 self._log_source(reader["name"])
-                outcome = self._apply_reply(reply, revision, _Exchange("neighbour", now))
+                exchange = _Exchange(
+                    "neighbour", now, self._clock.now(), reply.get("held_seconds", 0.0)
+                )
+                outcome = self._apply_reply(reply, revision, exchange)
             case Failure(error):
                 outcome = "failed"
                 _LOGGER.info("neighbour did not answer", neighbour=reader["name"], error=str(error))
@@ -249,15 +299,20 @@
         if outcome in ("failed", "stale"):
             self._neighbours.exclude(reader["name"])
 
+    def _poll_wait(self, now: float) -> float:
+        """Returns the wait of a poll with which it ends before this host has to call the store."""
+        due_at = self._change_log.as_of + _STALE_SECONDS
+        return max(_MIN_POLL_SECONDS, due_at - EXCHANGE_TIMEOUT_SECONDS - now)
+
     def _apply_reply(self, reply: StoreNews, revision: int, exchange: _Exchange) -> str:
         if not reply["complete"]:
             self._may_have_missed = True
             return "missed"
         changes = [decode_change(item) for item in reply["changes"] if item["revision"] > revision]
         self._record_exchange(changes, exchange)
-        as_of = self._clock.now() - reply["age_seconds"]
+        as_of = exchange.given_after - reply["age_seconds"]
         self._apply(changes, reply["revision"], as_of=as_of, since=self._change_log.as_of)
-        return "stale" if reply["age_seconds"] > _STALE_SECONDS else "ok"
+        return "stale" if exchange.received_at - as_of > _STALE_SECONDS else "ok"
 
     def _apply(
         self, changes: Sequence[StoredChange], revision: int, *, as_of: float, since: float
@@ -271,10 +326,9 @@
         self, changes: Iterable[StoredItem | StoredChange], exchange: _Exchange
     ) -> None:
         """Records how an answer with changes came, before the changes are applied."""
-        now = self._clock.now()
-        exchange_seconds = now - exchange.sent_at
+        data_age_seconds = exchange.received_at - max(self._started_at, self._change_log.as_of)
         if changes:
-            STORE_EXCHANGE_SECONDS.labels(exchange.source).observe(exchange_seconds)
+            STORE_TRANSIT_SECONDS.labels(exchange.source).observe(exchange.transit_seconds)
         for change in changes:
             if change.key.startswith(OPERATOR_PREFIX):
                 _LOGGER.info(
@@ -282,8 +336,9 @@
                     key=change.key,
                     revision=change.revision,
                     source=exchange.source,
-                    exchange_s=round(exchange_seconds, 3),
-                    data_age_s=round(now - max(self._started_at, self._change_log.as_of), 3),
+                    exchange_s=round(exchange.received_at - exchange.sent_at, 3),
+                    transit_s=round(exchange.transit_seconds, 3),
+                    data_age_s=round(data_age_seconds, 3),
                 )
 
     def _log_source(self, name: str | None) -> None:
--- a/filbertreach/gateway/_key_revocation.py
+++ b/filbertreach/gateway/_key_revocation.py
@@ -4,8 +4,8 @@
 from filbertreach.platform import Bounds, CallerAnswer, CallerRequest, refuse
 
 _MARGIN_SECONDS = 0.3
-"""Time by which keys are refused before the bound: what is known may be older by the delay of the
-store's answer, and a request may have arrived before it is read."""
+"""Time by which keys are refused before the bound, because a request may have arrived before it is
+read."""
 _MAX_MARGIN_SHARE = 0.25
 """The margin is at most this part of the bound."""
 _MAX_WATCH_SHARE = 0.3
--- a/filbertreach/gateway/_metrics.py
+++ b/filbertreach/gateway/_metrics.py
@@ -101,9 +101,9 @@
     "filbertreach_gateway_store_age_seconds",
     "Age of what is known of the store",
 )
-STORE_EXCHANGE_SECONDS = prometheus_client.Histogram(
-    "filbertreach_gateway_store_exchange_seconds",
-    "Time of an exchange that brought changes of the store, its wait for them included",
+STORE_TRANSIT_SECONDS = prometheus_client.Histogram(
+    "filbertreach_gateway_store_transit_seconds",
+    "Time of an exchange that brought changes, besides the time for which its request was held",
     ["source"],
     buckets=LATENCY_BUCKETS,
 )
--- a/filbertreach/gateway/_neighbours.py
+++ b/filbertreach/gateway/_neighbours.py
@@ -53,7 +53,7 @@
 """Characters of the name of a host or data centre."""
 _MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 """Bytes of a decompressed message."""
-_TIMEOUT_SECONDS = 0.7
+EXCHANGE_TIMEOUT_SECONDS = 0.7
 """Timeout of an exchange, in addition to the wait that it requests."""
 
 _HOSTS_DECODER = JsonDecoder(message=KnownHosts)
@@ -376,7 +376,9 @@
     ) -> HttpResponse:
         channel = self._channel_by_address.get(address)
         if channel is None:
-            channel = HttpChannel(base_url=base_url(address), timeout_seconds=_TIMEOUT_SECONDS)
+            channel = HttpChannel(
+                base_url=base_url(address), timeout_seconds=EXCHANGE_TIMEOUT_SECONDS
+            )
             self._channel_by_address[address] = channel
         target = f"{path}?{urllib.parse.urlencode(query)}"
         answer = await channel.exchange(method="GET", target=target, extra_seconds=wait_seconds)
--- a/filbertreach/gateway/tests/test_change_log.py
+++ b/filbertreach/gateway/tests/test_change_log.py
@@ -9,7 +9,7 @@
 from filbertreach.gateway._change_log import ChangeLog, decode_change
 from filbertreach.platform import StoredChange, StoredItem
 from filbertreach.schema import StoreNews
-from filbertreach.timing import FakeClock
+from filbertreach.timing import FakeClock, SystemClock
 
 
 def _change(key: str, revision: int, value: bytes | None = b"{}") -> StoredChange:
@@ -66,6 +66,17 @@
     assert change_log.revision == 9 and change_log.age_seconds == pytest.approx(7.0)
 
 
+def test_an_answer_states_how_long_it_was_held() -> None:
+    # Guards against a neighbour that has to count the wait for a change as the way of the answer.
+    async def run() -> StoreNews:
+        clock = SystemClock()
+        change_log = ChangeLog(clock=clock)
+        change_log.reset(revision=9, as_of=clock.now())
+        return await change_log.changes_since(9, wait_seconds=0.1)
+
+    assert 0.1 <= anyio.run(run)["held_seconds"] < 5.0
+
+
 def test_evicted_changes_make_the_answer_incomplete() -> None:
     change_log, _ = _change_log()
     change_log.append([_change("servers/a", revision) for revision in range(10, 3000)])
--- a/filbertreach/gateway/tests/test_discovery.py
+++ b/filbertreach/gateway/tests/test_discovery.py
@@ -197,6 +197,52 @@
     assert seen == [("b", 100.0)]
 
 
+@pytest.mark.parametrize(
+    ("answer_seconds", "has_changes", "age_seconds"),
+    [
+        # The store has held the watch for its wait, and the answer took 0.5 s.
+        (2.0, False, 0.5),
+        # An answer that came early may have been given at once.
+        (1.0, False, 1.0),
+        # So may an answer with changes.
+        (2.0, True, 2.0),
+    ],
+)
+def test_data_is_as_old_as_the_way_of_its_answer(
+    answer_seconds: float, has_changes: bool, age_seconds: float
+) -> None:
+    # Guards against taking the answer to a watch for current when it arrives: neighbours then took
+    # an old configuration for current.
+    clock = FakeClock(start=100.0)
+    change_log = ChangeLog(clock=clock)
+    changes = [("b", True)] if has_changes else []
+    store = _Store([_listing(5, "a"), _changes(6, *changes)])
+    answer = store._next
+    ages: list[float] = []
+
+    async def delay_watch(call: str) -> Result[Any, PlatformError]:
+        if call == "watch 6":
+            ages.append(change_log.age_seconds)
+        result = await answer(call)
+        if call == "watch 5":
+            clock.advance(answer_seconds)
+        return result
+
+    async def sleep(seconds: float) -> None:
+        pass
+
+    store._next = delay_watch  # type: ignore[method-assign]
+    _follow(
+        store=store,
+        clock=clock,
+        change_log=change_log,
+        on_listing=lambda listing, since: None,
+        on_change=lambda key, item, since: None,
+        sleep=sleep,
+    )
+    assert ages == [pytest.approx(age_seconds)]
+
+
 class _Neighbours:
     """A data centre whose reader answers from a script, in which None stands for no answer."""
 
@@ -229,6 +275,7 @@
                 complete=step.get("complete", True),
                 revision=step["revision"],
                 age_seconds=step.get("age", 0.0),
+                held_seconds=step.get("held", 0.0),
                 changes=[
                     StoreNewsItem(key=key, revision=revision, removed=False, value="{}")
                     for key, revision in step.get("changes", [])
@@ -286,15 +333,34 @@
             [],
         ),
         # Data aged 2.3 s is just below the limit: the reader is still followed, and the store is
-        # not called although the exchange itself took 2.5 s.
+        # not called although the exchange itself took 2.5 s, as the reader held it for that time.
         (
             [_listing(5, "a"), _changes(5)],
-            [{"revision": 5, "age": 2.3, "after_seconds": 2.5}, {"revision": 5}],
+            [{"revision": 5, "age": 2.3, "after_seconds": 2.5, "held": 2.5}, {"revision": 5}],
             ["list"],
             [5, 5, 5],
             [["a"]],
             [],
         ),
+        # An answer that was 2.5 s on its way is as old as that, whatever age the reader states.
+        (
+            [_listing(5, "a"), _changes(6, ("b", True))],
+            [{"revision": 5, "age": 0.0, "after_seconds": 2.5}],
+            ["list", "watch 5", "watch 6"],
+            [5],
+            [["a"], ("b", True)],
+            ["reader"],
+        ),
+        # A reader that states to have held a request for longer than the exchange took is not
+        # believed beyond the exchange.
+        (
+            [_listing(5, "a"), _changes(6, ("b", True))],
+            [{"revision": 5, "age": 2.5, "after_seconds": 0.1, "held": 1000.0}],
+            ["list", "watch 5", "watch 6"],
+            [5],
+            [["a"], ("b", True)],
+            ["reader"],
+        ),
     ],
 )
 def test_one_host_reads_for_the_others(
--- a/filbertreach/gateway/tests/test_key_revocation.py
+++ b/filbertreach/gateway/tests/test_key_revocation.py
@@ -49,7 +49,9 @@
 def test_a_host_whose_reader_fails_hears_from_the_store_before_it_refuses_keys() -> None:
     # Guards against a time limit that is raised without a look at the others.
     heard_seconds = (
-        _discovery._STALE_SECONDS + _neighbours._TIMEOUT_SECONDS + _process._STORE_TIMEOUT_SECONDS
+        _discovery._STALE_SECONDS
+        + _neighbours.EXCHANGE_TIMEOUT_SECONDS
+        + _process._STORE_TIMEOUT_SECONDS
     )
     shortest = _discovery._MIN_READER_SHARING_SECONDS
     assert KeyRevocation(bounds=_strict(shortest)).may_accept(heard_seconds)
--- a/filbertreach/schema/_generated_messages.py
+++ b/filbertreach/schema/_generated_messages.py
@@ -617,7 +617,11 @@
     """
     age_seconds: float
     """
-    Time since the store showed the sender that nothing newer exists.
+    Time since the store showed the sender that nothing newer exists, when the answer was given.
+    """
+    held_seconds: NotRequired[float]
+    """
+    Time from the arrival of the request until the answer was given; absent if it is not known.
     """
     changes: list[StoreNewsItem]
     """
