--- a/filbertreach/gateway/_change_log.py
+++ b/filbertreach/gateway/_change_log.py
@@ -38,6 +38,9 @@
         """
         self.revision: int | None = None
         """Revision up to which the changes are complete, None before the first listing."""
+        self.epoch = 0
+        """Epoch of the store to which `revision` belongs; revisions of two epochs can't be
+        compared."""
         self.as_of = -math.inf
         """Latest clock time at which the store had nothing newer than `revision`, in seconds."""
         self._clock = clock
@@ -52,16 +55,18 @@
         """Time since `as_of`."""
         return self._clock.now() - self.as_of
 
-    def reset(self, *, revision: int, as_of: float) -> None:
+    def reset(self, *, revision: int, as_of: float, epoch: int = 0) -> None:
         """Starts again from a listing of the store; changes before it are discarded.
 
         Args:
             revision: Revision of the listing.
             as_of: Clock when the listing was requested, in seconds.
+            epoch: Epoch of the store.
         """
         self._changes.clear()
         self._retained_bytes = 0
         self._complete_after = revision
+        self.epoch = epoch
         self.revision = revision
         self.confirm(revision=revision, as_of=as_of)
 
@@ -92,30 +97,40 @@
         self._confirmed.set()
         self._confirmed = anyio.Event()
 
-    async def changes_since(self, revision: int, *, wait_seconds: float) -> StoreNews:
+    async def changes_since(
+        self, revision: int, *, wait_seconds: float, epoch: int = 0
+    ) -> StoreNews:
         """Returns the changes after a revision; waits for the next confirmation if there are none.
 
         Args:
             revision: Revision up to which the neighbour has all changes.
             wait_seconds: Longest wait while there is no change, in seconds.
+            epoch: Epoch of the store to which the revision belongs.
 
         Returns:
-            The changes, marked as incomplete if some of them are no longer retained.
+            The changes, marked as incomplete if some of them are no longer retained or the epoch is
+            another one.
         """
         asked_at = self._clock.now()
-        if self.revision is None or revision >= self.revision:
+        if self.revision is None or (epoch == self.epoch and revision >= self.revision):
             confirmed = self._confirmed
             with anyio.move_on_after(wait_seconds):
                 await confirmed.wait()
         if self.revision is None:
             return StoreNews(
-                complete=False, revision=0, age_seconds=0.0, held_seconds=0.0, changes=[]
+                complete=False,
+                revision=0,
+                epoch=self.epoch,
+                age_seconds=0.0,
+                held_seconds=0.0,
+                changes=[],
             )
-        complete = revision >= self._complete_after
+        complete = epoch == self.epoch and revision >= self._complete_after
         changes = [c for c in self._changes if c.revision > revision] if complete else []
         return StoreNews(
             complete=complete,
             revision=self.revision,
+            epoch=self.epoch,
             age_seconds=self.age_seconds,
             held_seconds=self._clock.now() - asked_at,
             changes=[_encode_change(change) for change in changes],
--- a/filbertreach/gateway/_discovery.py
+++ b/filbertreach/gateway/_discovery.py
@@ -105,7 +105,7 @@
         """
 
     async def fetch_changes(
-        self, reader: KnownHost, *, after: int, wait_seconds: float
+        self, reader: KnownHost, *, after: int, wait_seconds: float, epoch: int
     ) -> Result[StoreNews, NeighbourError]:
         """Requests changes of the store from the reader.
 
@@ -113,6 +113,7 @@
             reader: The reader.
             after: Revision up to which this host has all changes.
             wait_seconds: Longest wait of the reader while there is no change, in seconds.
+            epoch: Epoch of the store to which the revision belongs.
         """
 
 
@@ -203,7 +204,7 @@
         if is_reader:
             self._log_source(None)
         if isinstance(error, HistoryLostError):
-            _LOGGER.warning("history lost", after=revision)
+            _LOGGER.warning("history lost", after=revision, error=str(error))
             self._change_log.revision = None
             error = None
         self._track_failures(error)
@@ -220,7 +221,9 @@
         exchange = _Exchange("list", sent_at, self._clock.now(), held_seconds=0.0)
         self._record_exchange(listing.item_by_key.values(), exchange)
         self._on_listing(listing, self._change_log.as_of)
-        self._change_log.reset(revision=listing.revision, as_of=exchange.given_after)
+        self._change_log.reset(
+            revision=listing.revision, as_of=exchange.given_after, epoch=listing.epoch
+        )
         self._may_have_missed = False
         return None
 
@@ -235,6 +238,9 @@
                 return error
             case Success(batch):
                 pass
+        if batch.epoch != self._change_log.epoch:
+            # The revision may have been given out again since, so this answer can lack changes.
+            return HistoryLostError(f"the store was restored; its epoch is {batch.epoch}")
         received_at = self._clock.now()
         held_seconds = watch_hold(
             wait_seconds=wait_seconds,
@@ -283,7 +289,10 @@
     async def _poll_reader(self, reader: KnownHost, revision: int, now: float) -> None:
         assert self._neighbours is not None
         result = await self._neighbours.fetch_changes(
-            reader, after=revision, wait_seconds=self._poll_wait(now)
+            reader,
+            after=revision,
+            wait_seconds=self._poll_wait(now),
+            epoch=self._change_log.epoch,
         )
         match result:
             case Success(reply):
@@ -305,7 +314,11 @@
         return max(_MIN_POLL_SECONDS, due_at - EXCHANGE_TIMEOUT_SECONDS - now)
 
     def _apply_reply(self, reply: StoreNews, revision: int, exchange: _Exchange) -> str:
-        if not reply["complete"]:
+        epoch = reply.get("epoch", 0)
+        if epoch < self._change_log.epoch:
+            # The reader has not noticed yet that the store was restored.
+            return "stale"
+        if not reply["complete"] or epoch != self._change_log.epoch:
             self._may_have_missed = True
             return "missed"
         changes = [decode_change(item) for item in reply["changes"] if item["revision"] > revision]
--- a/filbertreach/gateway/_neighbour_application.py
+++ b/filbertreach/gateway/_neighbour_application.py
@@ -89,7 +89,9 @@
                 raise ValueError("no retry histories are kept")
             return handover.answer(query["host"])
         wait_seconds = min(_MAX_WAIT_SECONDS, _count(query["wait_ms"]) / 1000.0)
-        return await change_log.changes_since(_count(query["after"]), wait_seconds=wait_seconds)
+        return await change_log.changes_since(
+            _count(query["after"]), wait_seconds=wait_seconds, epoch=_count(query["epoch"])
+        )
 
     async def application(scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] != "http":
@@ -116,7 +118,8 @@
             return
         try:
             query = dict(urllib.parse.parse_qsl(scope["query_string"].decode("ascii")))
-            body = compress(msgspec.json.encode(await answer(path, {"digest": "", **query})))
+            reply = await answer(path, {"digest": "", "epoch": "0", **query})
+            body = compress(msgspec.json.encode(reply))
         except (KeyError, ValueError) as error:
             detail = msgspec.json.encode({"title": f"unusable query: {error!r}"})
             await respond(send, 400, detail, _PROBLEM_TYPE)
--- a/filbertreach/gateway/_neighbours.py
+++ b/filbertreach/gateway/_neighbours.py
@@ -343,7 +343,7 @@
     # Changes of the store.
 
     async def fetch_changes(
-        self, reader: KnownHost, *, after: int, wait_seconds: float
+        self, reader: KnownHost, *, after: int, wait_seconds: float, epoch: int = 0
     ) -> Result[StoreNews, NeighbourError]:
         """Requests changes of the store from the reader.
 
@@ -351,11 +351,16 @@
             reader: The reader.
             after: Revision up to which this host has all changes.
             wait_seconds: Longest wait of the reader while there is no change, in seconds.
+            epoch: Epoch of the store to which the revision belongs.
 
         Returns:
             The changes, or the reason why there is no usable answer.
         """
-        query = {"after": str(after), "wait_ms": str(round(wait_seconds * 1000))}
+        query = {
+            "after": str(after),
+            "wait_ms": str(round(wait_seconds * 1000)),
+            "epoch": str(epoch),
+        }
         try:
             answer = await self._get(
                 reader["address"], CHANGES_PATH, query, wait_seconds=wait_seconds
--- a/filbertreach/gateway/tests/test_change_log.py
+++ b/filbertreach/gateway/tests/test_change_log.py
@@ -66,6 +66,19 @@
     assert change_log.revision == 9 and change_log.age_seconds == pytest.approx(7.0)
 
 
+@pytest.mark.parametrize("after", [4, 9, 20])
+def test_a_revision_of_another_epoch_is_answered_as_incomplete_at_once(after: int) -> None:
+    # Guards against a neighbour that waits for changes after a revision of the store before it was
+    # restored, and takes the answer for complete.
+    async def run() -> StoreNews:
+        change_log, _ = _change_log()
+        with anyio.fail_after(5.0):
+            return await change_log.changes_since(after, wait_seconds=60.0, epoch=1)
+
+    reply = anyio.run(run)
+    assert not reply["complete"] and reply["epoch"] == 0 and reply["changes"] == []
+
+
 def test_an_answer_states_how_long_it_was_held() -> None:
     # Guards against a neighbour that has to count the wait for a change as the way of the answer.
     async def run() -> StoreNews:
--- a/filbertreach/gateway/tests/test_configuration_bound.py
+++ b/filbertreach/gateway/tests/test_configuration_bound.py
@@ -16,6 +16,7 @@
 from filbertreach.gateway._discovery import StoreFollower
 from filbertreach.gateway._neighbours import NeighbourError, Neighbours
 from filbertreach.platform import (
+    HistoryLostError,
     PlatformError,
     PlatformUnavailableError,
     StoredChange,
@@ -64,21 +65,35 @@
 
     def __init__(self, loop: VirtualTimeLoop) -> None:
         self.written_at: list[float] = []
-        """Time of each change; that of revision N is at N - 1."""
+        """Time at which each version was written, that of version N at N - 1."""
+        self.epoch = 1
+        self._versions: list[int] = []
+        """Version by revision, that of revision N at N - 1."""
         self._loop = loop
         self._changed = anyio.Event()
 
     @property
     def revision(self) -> int:
-        return len(self.written_at)
+        return len(self._versions)
 
     def write(self) -> None:
+        """Writes the next version of the configuration."""
         self.written_at.append(self._loop.now())
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._versions.append(len(self.written_at))
+        self._notify()
+
+    def restore(self, *, lost_changes: int) -> None:
+        """Returns to a copy without the last changes, whose revisions are given out again."""
+        del self._versions[-lost_changes:]
+        self.epoch += 1
+        self._notify()
 
     def item(self) -> StoredItem:
-        return StoredItem(_CONFIGURATION_KEY, b"{}", self.revision)
+        return StoredItem(_CONFIGURATION_KEY, b"%d" % self._versions[-1], self.revision)
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
 
     async def wait_beyond(self, revision: int, seconds: float) -> None:
         with anyio.move_on_after(seconds):
@@ -97,7 +112,7 @@
         with anyio.move_on_after(_CALL_TIMEOUT_SECONDS):
             await self._link.send(_STORE_LINK_SECONDS)
             item = self._store.item()
-            listing = StoredListing({item.key: item}, self._store.revision)
+            listing = StoredListing({item.key: item}, item.revision, self._store.epoch)
             await self._link.receive(_STORE_LINK_SECONDS)
             return Success(listing)
         return Failure(PlatformUnavailableError("no answer"))
@@ -107,13 +122,16 @@
     ) -> Result[Any, PlatformError]:
         with anyio.move_on_after(_CALL_TIMEOUT_SECONDS + wait_seconds):
             await self._link.send(_STORE_LINK_SECONDS)
+            if after > self._store.revision:
+                await self._link.receive(_STORE_LINK_SECONDS)
+                return Failure(HistoryLostError("no such revision"))
             await self._store.wait_beyond(after, wait_seconds)
-            revision = self._store.revision
+            epoch = self._store.epoch
             item = self._store.item()
-            change = StoredChange(item.key, item, revision)
-            changes = (change,) if revision > after else ()
+            change = StoredChange(item.key, item, item.revision)
+            changes = (change,) if item.revision > after else ()
             await self._link.receive(_STORE_LINK_SECONDS)
-            return Success(StoredChanges(changes, revision))
+            return Success(StoredChanges(changes, item.revision, epoch))
         return Failure(PlatformUnavailableError("no answer"))
 
 
@@ -127,7 +145,7 @@
         self.link = _Link()
         self.change_log = ChangeLog(clock=fleet.loop)
         self.in_force_at: dict[int, float] = {}
-        """Time from which each revision of the configuration, or a newer one, is in force."""
+        """Time from which each version of the configuration, or a newer one, is in force."""
         self.neighbours = _SimulatedNeighbours(self, fleet)
         self.follower = StoreFollower(
             store=cast("Any", _StoreClient(fleet.store, self.link)),
@@ -141,9 +159,9 @@
         self._loop = fleet.loop
 
     def _apply(self, item: StoredItem | None) -> None:
-        assert item is not None
-        for revision in range(1, item.revision + 1):
-            self.in_force_at.setdefault(revision, self._loop.now())
+        assert item is not None and item.value is not None
+        for version in range(1, int(item.value) + 1):
+            self.in_force_at.setdefault(version, self._loop.now())
 
 
 class _SimulatedNeighbours(Neighbours):
@@ -181,7 +199,7 @@
     """A host that used a configuration for too long."""
 
     host: str
-    revision: int
+    version: int
     seconds: float
 
 
@@ -211,10 +229,10 @@
         for host in self.hosts:
             if host is except_host:
                 continue
-            for revision, written_at in enumerate(self.store.written_at, start=1):
-                seconds = host.in_force_at.get(revision, self.loop.now()) - written_at
+            for version, written_at in enumerate(self.store.written_at, start=1):
+                seconds = host.in_force_at.get(version, self.loop.now()) - written_at
                 if seconds > _BOUND_SECONDS:
-                    found.append(_Late(host.known["name"], revision, round(seconds, 3)))
+                    found.append(_Late(host.known["name"], version, round(seconds, 3)))
         return found
 
 
@@ -301,5 +319,30 @@
     assert _run(scenario, seed=seed) == []
 
 
+@pytest.mark.parametrize("written_again", range(5))
+@pytest.mark.parametrize("is_reader_cut", [False, True])
+def test_a_store_restored_from_a_copy_delays_no_change_beyond_the_bound(
+    is_reader_cut: bool, written_again: int
+) -> None:
+    # Guards against revisions that are taken as never going back: hosts waited for changes after a
+    # revision that the restored store had yet to reach, or gave out again with other changes.
+    async def scenario(fleet: _Fleet) -> list[_Late]:
+        for _ in range(5):
+            await anyio.sleep(1.0)
+            fleet.store.write()
+        await anyio.sleep(1.0)
+        reader = fleet.reader()
+        reader.link.is_cut = is_reader_cut
+        fleet.store.restore(lost_changes=3)
+        for _ in range(written_again):
+            fleet.store.write()
+        await anyio.sleep(_BOUND_SECONDS + 1.0)
+        fleet.store.write()
+        await anyio.sleep(_BOUND_SECONDS + 1.0)
+        return fleet.late(except_host=reader if is_reader_cut else None)
+
+    assert _run(scenario) == []
+
+
 def _names(hosts: list[_Host]) -> set[str]:
     return {host.known["name"] for host in hosts}
--- a/filbertreach/gateway/tests/test_discovery.py
+++ b/filbertreach/gateway/tests/test_discovery.py
@@ -50,11 +50,13 @@
     return StoredItem(key, b"{}", revision)
 
 
-def _listing(revision: int, *keys: str) -> Result[Any, PlatformError]:
-    return Success(StoredListing({key: _item(key, revision) for key in keys}, revision))
+def _listing(revision: int, *keys: str, epoch: int = 0) -> Result[Any, PlatformError]:
+    return Success(StoredListing({key: _item(key, revision) for key in keys}, revision, epoch))
 
 
-def _changes(revision: int, *changes: tuple[str, bool]) -> Result[Any, PlatformError]:
+def _changes(
+    revision: int, *changes: tuple[str, bool], epoch: int = 0
+) -> Result[Any, PlatformError]:
     return Success(
         StoredChanges(
             tuple(
@@ -62,6 +64,7 @@
                 for key, kept in changes
             ),
             revision,
+            epoch,
         )
     )
 
@@ -123,6 +126,12 @@
             ["list", "list", "watch 5", "watch 5", "watch 5", "watch 6"],
             [["a"], ("b", True)],
         ),
+        # A store that was restored may give out the same revisions with other changes.
+        (
+            [_listing(5, "a"), _changes(6, ("b", True), epoch=1), _listing(6, "c", epoch=1)],
+            ["list", "watch 5", "list", "watch 6"],
+            [["a"], ["c"]],
+        ),
         # An answer with an older revision does not move the watch back.
         ([_listing(5, "a"), _changes(3)], ["list", "watch 5", "watch 5"], [["a"]]),
     ],
@@ -261,7 +270,7 @@
         self.excluded.append(name)
 
     async def fetch_changes(
-        self, reader: KnownHost, *, after: int, wait_seconds: float
+        self, reader: KnownHost, *, after: int, wait_seconds: float, epoch: int
     ) -> Result[StoreNews, NeighbourError]:
         self.asked.append(after)
         if not self.script:
@@ -274,6 +283,7 @@
             StoreNews(
                 complete=step.get("complete", True),
                 revision=step["revision"],
+                epoch=step.get("epoch", 0),
                 age_seconds=step.get("age", 0.0),
                 held_seconds=step.get("held", 0.0),
                 changes=[
@@ -342,6 +352,28 @@
             [["a"]],
             [],
         ),
+        # A reader that has noticed that the store was restored makes this host list the store, and
+        # is followed again.
+        (
+            [_listing(5, "a"), Failure(HistoryLostError("gone")), _listing(3, "c", epoch=1)],
+            [
+                {"revision": 3, "epoch": 1},
+                {"revision": 4, "epoch": 1, "changes": [("d", 4)]},
+            ],
+            ["list", "watch 5", "list"],
+            [5, 3, 4],
+            [["a"], ["c"], ("d", True)],
+            [],
+        ),
+        # A reader that has not noticed it is not followed.
+        (
+            [_listing(5, "a", epoch=1), _changes(6, ("b", True), epoch=1)],
+            [{"revision": 7, "epoch": 0, "changes": [("x", 7)]}],
+            ["list", "watch 5", "watch 6"],
+            [5],
+            [["a"], ("b", True)],
+            ["reader"],
+        ),
         # An answer that was 2.5 s on its way is as old as that, whatever age the reader states.
         (
             [_listing(5, "a"), _changes(6, ("b", True))],
--- a/filbertreach/platform/_deployment_store.py
+++ b/filbertreach/platform/_deployment_store.py
@@ -3,7 +3,7 @@
 import base64
 import binascii
 import urllib.parse
-from typing import NamedTuple, TypeVar
+from typing import Generic, NamedTuple, TypeVar
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -20,10 +20,11 @@
     PlatformUnavailableError,
     RateLimitedError,
 )
-from filbertreach.schema import Int64, InvalidMessageError, JsonDecoder, base_url
+from filbertreach.schema import Int64, InvalidMessageError, JsonDecoder, base_url, parse_count
 
 ALL_KEYS = ""
 """Prefix that every key has."""
+_EPOCH_HEADER = b"store-era"
 _MAX_PAGES = 1000
 """A listing with more pages than this fails, in case a faulty store repeats pages forever."""
 
@@ -46,6 +47,9 @@
     """Items by key."""
     revision: int
     """Revision of the first page; a watch from here misses no change."""
+    epoch: int = 0
+    """Epoch of the store; it rises when the store is restored from a copy, which takes revisions
+    back. 0 if the store states none."""
 
 
 class StoredChange(NamedTuple):
@@ -66,6 +70,8 @@
     """Changes in order of revision."""
     revision: int
     """Revision to pass as `after` to the next watch."""
+    epoch: int = 0
+    """Epoch of the store, to which the revisions belong."""
 
 
 class _Item(msgspec.Struct):
@@ -92,6 +98,11 @@
 _Body = TypeVar("_Body")
 
 
+class _Answer(NamedTuple, Generic[_Body]):
+    body: _Body
+    epoch: int
+
+
 class DeploymentStore(ChannelClient):
     """Client of the store; a context manager. Safe to use from several tasks."""
 
@@ -114,18 +125,21 @@
             The listing.
         """
         item_by_key: dict[str, StoredItem] = {}
-        revision: int | None = None
+        first: _Answer[_Range] | None = None
         query = {"prefix": prefix}
         for _ in range(_MAX_PAGES):
             match await self._call("list", "/-/kv-range", query, _RANGE_DECODER):
-                case Success(page):
+                case Success(answer):
                     pass
                 case Failure(error):
                     return Failure(error)
-            revision = page.at_rev if revision is None else revision
+            first = first or answer
+            if answer.epoch != first.epoch:
+                return Failure(PlatformUnavailableError("the store was restored during a listing"))
+            page = answer.body
             item_by_key.update((item.key, _to_item(item)) for item in page.items)
             if not page.has_more:
-                return Success(StoredListing(item_by_key, revision))
+                return Success(StoredListing(item_by_key, first.body.at_rev, first.epoch))
             if not page.items:
                 # Taken for complete, the listing would lack leaves that are there.
                 break
@@ -158,7 +172,7 @@
         query: dict[str, str],
         decoder: JsonDecoder[_Body],
         extra_seconds: float = 0.0,
-    ) -> Result[_Body, PlatformError]:
+    ) -> Result[_Answer[_Body], PlatformError]:
         self.calls_by_kind[kind] += 1
         target = f"{path}?{urllib.parse.urlencode(query)}"
         try:
@@ -175,11 +189,15 @@
         if response.status != 200:
             return Failure(_error_from_response(response, target))
         try:
-            return Success(decoder.decode(response.body))
+            return Success(_Answer(decoder.decode(response.body), _epoch(response)))
         except InvalidMessageError as error:
             return Failure(PlatformUnavailableError(f"{target}: invalid response: {error}"))
 
 
+def _epoch(response: HttpResponse) -> int:
+    return parse_count(response.headers.get(_EPOCH_HEADER, b"")) or 0
+
+
 def _error_from_response(response: HttpResponse, target: str) -> PlatformError:
     if response.status == 410:
         return HistoryLostError(f"{target}: the history is no longer available")
@@ -201,7 +219,8 @@
         return None
 
 
-def _to_changes(body: _Watch) -> StoredChanges:
+def _to_changes(answer: _Answer[_Watch]) -> StoredChanges:
+    body = answer.body
     return StoredChanges(
         tuple(
             StoredChange(
@@ -212,4 +231,5 @@
             for event in body.events
         ),
         body.at_rev,
+        answer.epoch,
     )
--- a/filbertreach/schema/_generated_messages.py
+++ b/filbertreach/schema/_generated_messages.py
@@ -615,6 +615,10 @@
     """
     Revision up to which the changes are complete.
     """
+    epoch: NotRequired[Int64]
+    """
+    Epoch of the store to which the revisions belong; absent for 0, if the store states none.
+    """
     age_seconds: float
     """
     Time since the store showed the sender that nothing newer exists, when the answer was given.
--- a/filbertreach_standins/gateways/_deployment.py
+++ b/filbertreach_standins/gateways/_deployment.py
@@ -213,6 +213,18 @@
         """
         self.store.request("PUT", "/admin/keys", value_by_key)
 
+    def restore_store(self, *, lost_changes: int) -> None:
+        """Restores the store from a copy.
+
+        Args:
+            lost_changes: Number of the last changes that the copy lacks.
+        """
+        self.store.request("PUT", "/admin/restore", {"lost_changes": lost_changes})
+
+    def rewrite_lost_keys(self) -> None:
+        """Writes again what the last restore has lost, unless it was written since."""
+        self.store.request("PUT", "/admin/rewrite", {})
+
     def add_route(self, path: str, *, other_keys: dict[str, str | None] | None = None) -> None:
         """Writes a new version of the configuration with one more scatter route.
 
--- a/filbertreach_standins/gateways/run.py
+++ b/filbertreach_standins/gateways/run.py
@@ -25,6 +25,7 @@
     Refusal,
     RunRecord,
 )
+from filbertreach_standins.gateways._store_fault_kinds import store_kinds_by_name
 
 _INJECTORS = 3
 """Largest number of faults at a time."""
@@ -135,7 +136,7 @@
         subset += rng.sample(account_names, count)
     else:
         subset = rng.sample(names, rng.randrange(_MIN_KINDS, len(names) + 1))
-    kinds_by_name = {**fault_kinds_by_name, **account_kinds_by_name}
+    kinds_by_name = {**fault_kinds_by_name, **account_kinds_by_name, **store_kinds_by_name}
     return [kinds_by_name[name] for name in options.kinds or subset]
 
 
--- a/tests/test_gateway_run.py
+++ b/tests/test_gateway_run.py
@@ -40,6 +40,19 @@
     assert record.cold_phases or record.departures or record.refusals, summary
 
 
+def test_a_store_restored_from_copies_violates_no_guarantee() -> None:
+    # Guards against revisions of the store that are taken as never going back: routes were then not
+    # in force in time, as gateways waited for revisions that are given out again.
+    options = gateway_run.RunOptions(
+        seed=46, seconds=14.0, kinds=("store restored", "new route", "leaf leaves")
+    )
+    result = gateway_run.run(options)
+    summary = gateway_run.summary(result)
+    assert result.violations == [], summary
+    assert any(interval.kind == "store restored" for interval in result.record.fault_intervals)
+    assert sum(request.status == 200 for request in result.record.requests) > 300, summary
+
+
 def _children(process_id: int) -> list[int]:
     tasks = pathlib.Path(f"/proc/{process_id}/task")
     return [
