--- a/filbertreach/gateway/_change_log.py
+++ b/filbertreach/gateway/_change_log.py
@@ -43,7 +43,10 @@
         compared."""
         self.as_of = -math.inf
         """Latest clock time at which the store had nothing newer than `revision`, in seconds."""
+        self.asked_at = -math.inf
+        """Clock when a neighbour last asked for changes, in seconds."""
         self._clock = clock
+        self._reaches_store = True
         self._complete_after = 0
         """Changes after this revision are retained without a gap."""
         self._changes: deque[StoredChange] = deque()
@@ -68,7 +71,8 @@
         self._complete_after = revision
         self.epoch = epoch
         self.revision = revision
-        self.confirm(revision=revision, as_of=as_of)
+        self.as_of = max(self.as_of, as_of)
+        self._notify()
 
     def append(self, changes: Iterable[StoredChange]) -> None:
         """Appends changes and evicts the oldest ones beyond the retention limits.
@@ -85,15 +89,33 @@
                 self._complete_after = evicted.revision
 
     def confirm(self, *, revision: int, as_of: float) -> None:
-        """Records that the log was up to date, and wakes the pending calls of `changes_since`.
+        """Records that the log was up to date; if that is news, wakes calls of `changes_since`.
+
+        An answer that brings nothing new wakes none: hosts that follow each other in a circle would
+        otherwise answer each other without a pause.
 
         Args:
             revision: Revision up to which the changes are complete.
             as_of: Clock at which the store had nothing newer, in seconds.
         """
         assert self.revision is not None
+        if revision <= self.revision and as_of <= self.as_of:
+            return
         self.revision = max(self.revision, revision)
         self.as_of = max(self.as_of, as_of)
+        self._notify()
+
+    def set_reaches_store(self, reaches_store: bool) -> None:
+        """Sets whether this host can read the store; neighbours that wait are told if it can't.
+
+        Args:
+            reaches_store: Whether the last call of this host to the store succeeded.
+        """
+        if self._reaches_store and not reaches_store:
+            self._notify()
+        self._reaches_store = reaches_store
+
+    def _notify(self) -> None:
         self._confirmed.set()
         self._confirmed = anyio.Event()
 
@@ -102,6 +124,8 @@
     ) -> StoreNews:
         """Returns the changes after a revision; waits for the next confirmation if there are none.
 
+        A host that can't read the store answers at once, so that the neighbour asks another one.
+
         Args:
             revision: Revision up to which the neighbour has all changes.
             wait_seconds: Longest wait while there is no change, in seconds.
@@ -111,8 +135,9 @@
             The changes, marked as incomplete if some of them are no longer retained or the epoch is
             another one.
         """
-        asked_at = self._clock.now()
-        if self.revision is None or (epoch == self.epoch and revision >= self.revision):
+        self.asked_at = asked_at = self._clock.now()
+        has_no_news = self.revision is None or (epoch == self.epoch and revision >= self.revision)
+        if has_no_news and self._reaches_store:
             confirmed = self._confirmed
             with anyio.move_on_after(wait_seconds):
                 await confirmed.wait()
@@ -123,6 +148,7 @@
                 epoch=self.epoch,
                 age_seconds=0.0,
                 held_seconds=0.0,
+                reads_store=self._reaches_store,
                 changes=[],
             )
         complete = epoch == self.epoch and revision >= self._complete_after
@@ -133,6 +159,7 @@
             epoch=self.epoch,
             age_seconds=self.age_seconds,
             held_seconds=self._clock.now() - asked_at,
+            reads_store=self._reaches_store,
             changes=[_encode_change(change) for change in changes],
         )
 
--- a/filbertreach/gateway/_discovery.py
+++ b/filbertreach/gateway/_discovery.py
@@ -53,6 +53,9 @@
 """Smallest bound on configuration, draining and evacuation with which one host of a data centre
 reads the store for the others. A silent reader is detected after 2.4 s, and a call to the store has
 to fit into the rest of the bound."""
+_ASKED_SECONDS = 2.5
+"""Time after the last question of a neighbour for which a host that reaches the store reads it, so
+that no two hosts wait for each other. Longer than the interval of a neighbour's polls."""
 _RETRY_SECONDS = 0.25
 _MAX_RETRY_SECONDS = 1.0
 _MAX_SHARED_RETRY_SECONDS = 2.0
@@ -174,7 +177,7 @@
         while True:
             now = self._clock.now()
             revision = self._change_log.revision
-            reader = self._neighbours.reader() if self._neighbours else None
+            reader = self._choose_reader(now)
             if revision is None or reader is None or self._must_call_store(now):
                 if now < self._retry_at:
                     # After the delay, a neighbour may have become the reader.
@@ -184,6 +187,13 @@
             else:
                 await self._poll_reader(reader, revision, now)
 
+    def _choose_reader(self, now: float) -> KnownHost | None:
+        """Returns the neighbour to follow, None if this host reads the store."""
+        is_asked = now - self._change_log.asked_at < _ASKED_SECONDS
+        if self._neighbours is None or (is_asked and not self._failure_count):
+            return None
+        return self._neighbours.reader()
+
     def _must_call_store(self, now: float) -> bool:
         """Returns whether this host has to call the store although a neighbour is the reader."""
         return now >= self._retry_at and (
@@ -267,6 +277,7 @@
 
     def _track_failures(self, error: PlatformError | None) -> None:
         now = self._clock.now()
+        self._change_log.set_reaches_store(error is None)
         if error is None:
             if self._failure_count:
                 _LOGGER.info("store regained", failures=self._failure_count)
@@ -305,7 +316,7 @@
                 outcome = "failed"
                 _LOGGER.info("neighbour did not answer", neighbour=reader["name"], error=str(error))
         READER_POLLS.labels(outcome).inc()
-        if outcome in ("failed", "stale"):
+        if outcome in ("failed", "stale", "declined"):
             self._neighbours.exclude(reader["name"])
 
     def _poll_wait(self, now: float) -> float:
@@ -325,7 +336,9 @@
         self._record_exchange(changes, exchange)
         as_of = exchange.given_after - reply["age_seconds"]
         self._apply(changes, reply["revision"], as_of=as_of, since=self._change_log.as_of)
-        return "stale" if exchange.received_at - as_of > _STALE_SECONDS else "ok"
+        if exchange.received_at - as_of > _STALE_SECONDS:
+            return "stale"
+        return "ok" if reply.get("reads_store", True) else "declined"
 
     def _apply(
         self, changes: Sequence[StoredChange], revision: int, *, as_of: float, since: float
--- a/filbertreach/gateway/tests/test_change_log.py
+++ b/filbertreach/gateway/tests/test_change_log.py
@@ -146,11 +146,58 @@
 
             group.start_soon(ask)
             await anyio.wait_all_tasks_blocked()
+            clock.advance(1.0)
             change_log.confirm(revision=9, as_of=clock.now())
 
     anyio.run(run)
 
 
+@pytest.mark.parametrize("age_seconds", [0.0, 1.0])
+def test_an_answer_that_brings_nothing_new_wakes_no_neighbour(age_seconds: float) -> None:
+    # Guards against hosts that follow each other and answer each other hundreds of times a second.
+    change_log, clock = _change_log()
+
+    async def run() -> StoreNews:
+        replies: list[StoreNews] = []
+
+        async def ask() -> None:
+            replies.append(await change_log.changes_since(9, wait_seconds=0.3))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            await anyio.wait_all_tasks_blocked()
+            change_log.confirm(revision=9, as_of=clock.now() - age_seconds)
+            await anyio.sleep(0.05)
+            assert not replies
+            clock.advance(0.3)
+        return replies[0]
+
+    assert anyio.run(run)["held_seconds"] == pytest.approx(0.3)
+
+
+def test_a_host_that_does_not_reach_the_store_tells_neighbours_at_once() -> None:
+    # Guards against neighbours that wait for a host which has itself to wait for others.
+    change_log, _ = _change_log()
+
+    async def run() -> list[StoreNews]:
+        replies: list[StoreNews] = []
+
+        async def ask() -> None:
+            with anyio.fail_after(5):
+                replies.append(await change_log.changes_since(9, wait_seconds=60.0))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            await anyio.wait_all_tasks_blocked()
+            change_log.set_reaches_store(False)
+        await ask()
+        change_log.set_reaches_store(True)
+        replies.append(await change_log.changes_since(5, wait_seconds=60.0))
+        return replies
+
+    assert [reply["reads_store"] for reply in anyio.run(run)] == [False, False, True]
+
+
 def test_a_reader_without_a_listing_answers_incomplete() -> None:
     change_log = ChangeLog(clock=FakeClock())
     assert anyio.run(lambda: change_log.changes_since(0, wait_seconds=0.01))["complete"] is False
--- a/filbertreach/gateway/tests/test_configuration_bound.py
+++ b/filbertreach/gateway/tests/test_configuration_bound.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import enum
 import random
 from typing import Any, NamedTuple, cast
 
@@ -19,6 +20,7 @@
     HistoryLostError,
     PlatformError,
     PlatformUnavailableError,
+    RateLimitedError,
     StoredChange,
     StoredChanges,
     StoredItem,
@@ -37,6 +39,17 @@
 _HOSTS = 5
 
 
+class _StoreAccess(enum.Enum):
+    """How the store treats the calls of a host."""
+
+    SERVED = enum.auto()
+    REFUSED = enum.auto()
+    SILENT = enum.auto()
+
+
+_UNSERVED = (_StoreAccess.REFUSED, _StoreAccess.SILENT)
+
+
 class _Link:
     """Link of a host, which its exchanges with the store and with neighbours share."""
 
@@ -46,6 +59,19 @@
         self.out_seconds = 0.0
         """Additional time of messages that the host sends."""
         self.is_cut = False
+        self.store_access = _StoreAccess.SERVED
+        self._access_changed = anyio.Event()
+
+    def set_store_access(self, access: "_StoreAccess") -> None:
+        """Sets how the store treats the host; a watch that waits is treated so as well."""
+        self.store_access = access
+        self._access_changed.set()
+        self._access_changed = anyio.Event()
+
+    async def wait_not_served(self) -> None:
+        """Waits until the store serves the host no longer."""
+        while self.store_access is _StoreAccess.SERVED:
+            await self._access_changed.wait()
 
     async def send(self, seconds: float) -> None:
         """Carries a message of the host that takes a time without disturbance."""
@@ -104,11 +130,14 @@
 class _StoreClient:
     """Client of the store over the link of a host."""
 
-    def __init__(self, store: _Store, link: _Link) -> None:
+    def __init__(self, store: _Store, link: _Link, loop: VirtualTimeLoop) -> None:
         self._store = store
         self._link = link
+        self._loop = loop
 
     async def list_prefix(self, prefix: str) -> Result[Any, PlatformError]:
+        if self._link.store_access is not _StoreAccess.SERVED:
+            return await self._not_served(_CALL_TIMEOUT_SECONDS)
         with anyio.move_on_after(_CALL_TIMEOUT_SECONDS):
             await self._link.send(_STORE_LINK_SECONDS)
             item = self._store.item()
@@ -120,6 +149,35 @@
     async def watch(
         self, prefix: str, *, after: int, wait_seconds: float
     ) -> Result[Any, PlatformError]:
+        timeout_seconds = _CALL_TIMEOUT_SECONDS + wait_seconds
+        if self._link.store_access is not _StoreAccess.SERVED:
+            return await self._not_served(timeout_seconds)
+        results: list[Result[Any, PlatformError]] = []
+        started_at = self._loop.now()
+
+        async def watch(scope: anyio.CancelScope) -> None:
+            results.append(await self._watch(after, wait_seconds))
+            scope.cancel()
+
+        async def stop(scope: anyio.CancelScope) -> None:
+            await self._link.wait_not_served()
+            left_seconds = timeout_seconds - (self._loop.now() - started_at)
+            results.append(await self._not_served(left_seconds))
+            scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(watch, group.cancel_scope)
+            group.start_soon(stop, group.cancel_scope)
+        return results[0]
+
+    async def _not_served(self, timeout_seconds: float) -> Result[Any, PlatformError]:
+        if self._link.store_access is _StoreAccess.SILENT:
+            await anyio.sleep(timeout_seconds)
+            return Failure(PlatformUnavailableError("no answer"))
+        await anyio.sleep(2 * _STORE_LINK_SECONDS)
+        return Failure(RateLimitedError(retry_after_seconds=1.0))
+
+    async def _watch(self, after: int, wait_seconds: float) -> Result[Any, PlatformError]:
         with anyio.move_on_after(_CALL_TIMEOUT_SECONDS + wait_seconds):
             await self._link.send(_STORE_LINK_SECONDS)
             if after > self._store.revision:
@@ -148,7 +206,7 @@
         """Time from which each version of the configuration, or a newer one, is in force."""
         self.neighbours = _SimulatedNeighbours(self, fleet)
         self.follower = StoreFollower(
-            store=cast("Any", _StoreClient(fleet.store, self.link)),
+            store=cast("Any", _StoreClient(fleet.store, self.link, fleet.loop)),
             on_listing=lambda listing, since: self._apply(listing.item_by_key[_CONFIGURATION_KEY]),
             on_change=lambda key, item, since: self._apply(item),
             change_log=self.change_log,
@@ -176,6 +234,7 @@
             seeds=(),
             clock=fleet.loop,
         )
+        self.polls = 0
         self._host = host
         self._fleet = fleet
 
@@ -183,6 +242,7 @@
         self, reader: KnownHost, *, after: int, wait_seconds: float, **options: Any
     ) -> Result[StoreNews, NeighbourError]:
         other = self._fleet.host_by_name[reader["name"]]
+        self.polls += 1
         with anyio.move_on_after(_CALL_TIMEOUT_SECONDS + wait_seconds):
             await self._host.link.send(_NEAR_SECONDS)
             await other.link.receive(0.0)
@@ -206,16 +266,21 @@
 class _Fleet:
     """Hosts of one data centre; a context manager is not needed, as tasks end with the run."""
 
-    def __init__(self, loop: VirtualTimeLoop) -> None:
+    def __init__(self, loop: VirtualTimeLoop, hosts: int) -> None:
         self.loop = loop
+        self._started_at = loop.now()
         self.store = _Store(loop)
-        self.hosts = [_Host(number, self) for number in range(_HOSTS)]
+        self.hosts = [_Host(number, self) for number in range(hosts)]
         self.host_by_name = {host.known["name"]: host for host in self.hosts}
         for host in self.hosts:
             for other in self.hosts:
                 if other is not host:
                     host.neighbours.on_announcement(other.known, known_digest="")
 
+    def seconds(self) -> float:
+        """Returns the time since the fleet was created."""
+        return self.loop.now() - self._started_at
+
     def reader(self) -> _Host:
         """Returns the host that the others follow while nothing is disturbed."""
         for host in self.hosts:
@@ -236,12 +301,12 @@
         return found
 
 
-def _run(scenario: Any, *, seed: int = 1) -> list[_Late]:
+def _run(scenario: Any, *, seed: int = 1, hosts: int = _HOSTS) -> list[_Late]:
     """Runs a scenario with the hosts of a fleet; returns what it returns."""
     random.seed(seed)
 
     async def main(loop: VirtualTimeLoop) -> list[_Late]:
-        fleet = _Fleet(loop)
+        fleet = _Fleet(loop, hosts)
         fleet.store.write()
         async with anyio.create_task_group() as group:
             for host in fleet.hosts:
@@ -319,6 +384,41 @@
     assert _run(scenario, seed=seed) == []
 
 
+@pytest.mark.parametrize(
+    ("hosts", "access", "seed"),
+    [
+        (6, _StoreAccess.REFUSED, 99),
+        (6, _StoreAccess.REFUSED, 4),
+        (6, _StoreAccess.SILENT, 22),
+        (20, _StoreAccess.SILENT, 129),
+        *[(hosts, access, 0) for hosts in (6, 12, 20) for access in _UNSERVED],
+    ],
+)
+def test_hosts_that_follow_each_other_do_not_keep_old_data_current(
+    hosts: int, access: _StoreAccess, seed: int
+) -> None:
+    # Guards against a circle of hosts that the store does not serve: each took its data from the
+    # next, the time of the messages counted as no age, and so the data kept its age for seconds.
+    async def scenario(fleet: _Fleet) -> list[_Late]:
+        rng = random.Random(seed)
+        await anyio.sleep(5.0 + rng.uniform(0.0, 2.0))
+        reader = fleet.reader()
+        for host in fleet.hosts:
+            if host is reader or rng.random() < 0.4:
+                host.link.set_store_access(access)
+        for _ in range(9):
+            await anyio.sleep(rng.uniform(0.2, 1.5))
+            if rng.random() < 0.5:
+                fleet.store.write()
+        for host in fleet.hosts:
+            host.link.set_store_access(_StoreAccess.SERVED)
+        await anyio.sleep(_BOUND_SECONDS + 1.0)
+        assert max(host.neighbours.polls for host in fleet.hosts) < 10 * fleet.seconds()
+        return fleet.late()
+
+    assert _run(scenario, seed=seed, hosts=hosts) == []
+
+
 @pytest.mark.parametrize("written_again", range(5))
 @pytest.mark.parametrize("is_reader_cut", [False, True])
 def test_a_store_restored_from_a_copy_delays_no_change_beyond_the_bound(
--- a/filbertreach/gateway/tests/test_discovery.py
+++ b/filbertreach/gateway/tests/test_discovery.py
@@ -284,6 +284,7 @@
                 complete=step.get("complete", True),
                 revision=step["revision"],
                 epoch=step.get("epoch", 0),
+                reads_store=step.get("reads_store", True),
                 age_seconds=step.get("age", 0.0),
                 held_seconds=step.get("held", 0.0),
                 changes=[
@@ -374,6 +375,15 @@
             [["a"], ("b", True)],
             ["reader"],
         ),
+        # What a host knows that does not read the store is used, but it is not followed.
+        (
+            [_listing(5, "a"), _changes(7, ("b", True))],
+            [{"revision": 6, "changes": [("c", 6)], "reads_store": False}],
+            ["list", "watch 6", "watch 7"],
+            [5],
+            [["a"], ("c", True), ("b", True)],
+            ["reader"],
+        ),
         # An answer that was 2.5 s on its way is as old as that, whatever age the reader states.
         (
             [_listing(5, "a"), _changes(6, ("b", True))],
@@ -457,6 +467,43 @@
     assert len(ages) == 1
 
 
+@pytest.mark.parametrize(
+    ("asked_seconds_ago", "is_refused", "source"),
+    [
+        (1.0, False, "store"),
+        (3.0, False, "neighbour"),
+        (1.0, True, "neighbour"),
+    ],
+)
+def test_a_host_that_neighbours_ask_reads_the_store(
+    asked_seconds_ago: float, is_refused: bool, source: str
+) -> None:
+    # Guards against two hosts that follow each other, so that neither reads the store.
+    clock = FakeClock(start=100.0)
+    refusal = Failure(RateLimitedError(retry_after_seconds=1.0))
+    store = _Store([_listing(5, "a"), *([refusal] if is_refused else [])])
+    neighbours = _Neighbours([], clock)
+    change_log = ChangeLog(clock=clock)
+    change_log.asked_at = clock.now() - asked_seconds_ago
+
+    async def sleep(seconds: float) -> None:
+        clock.advance(seconds)
+        await anyio.sleep(0)
+
+    _follow(
+        store=store,
+        clock=clock,
+        change_log=change_log,
+        neighbours=neighbours,
+        on_listing=lambda listing, since: None,
+        on_change=lambda key, item, since: None,
+        sleep=sleep,
+    )
+    calls = ["list", "watch 5"]
+    assert store.calls == (calls if is_refused or source == "store" else calls[:1])
+    assert bool(neighbours.asked) is (source == "neighbour")
+
+
 def test_a_rate_limited_host_gets_changes_from_a_neighbour() -> None:
     store = _Store([_listing(5, "a"), *[Failure(RateLimitedError(retry_after_seconds=1.0))] * 2])
     clock = FakeClock(start=100.0)
--- a/filbertreach/gateway/tests/test_draining_bound.py
+++ b/filbertreach/gateway/tests/test_draining_bound.py
@@ -35,7 +35,7 @@
         # A host follows a reader that answers with old data, or not at all, up to this age,
         _discovery._STALE_SECONDS
         # one exchange with the reader may have begun just before,
-        + _neighbours._TIMEOUT_SECONDS
+        + _neighbours.EXCHANGE_TIMEOUT_SECONDS
         # and the store's answer to the host's own call may take this long.
         + _process._STORE_TIMEOUT_SECONDS
     )
--- a/filbertreach/schema/_generated_messages.py
+++ b/filbertreach/schema/_generated_messages.py
@@ -627,6 +627,10 @@
     """
     Time from the arrival of the request until the answer was given; absent if it is not known.
     """
+    reads_store: NotRequired[bool]
+    """
+    Whether the sender reads the store itself, or does so now that it is asked; absent if it always does.
+    """
     changes: list[StoreNewsItem]
     """
     Changes after the revision that was asked for, in order.
