--- a/filbertreach/gateway/_directory.py
+++ b/filbertreach/gateway/_directory.py
@@ -18,6 +18,7 @@
 )
 from filbertreach.document import Route, RouteTable
 from filbertreach.gateway._cold_bound import ColdBound
+from filbertreach.gateway._evacuations import Evacuations
 from filbertreach.gateway._leaf_handle import LeafHandle, Location
 from filbertreach.gateway._metrics import ROUTES_VERSION
 from filbertreach.gateway._observed_leaves import ObservedLeaves
@@ -103,8 +104,6 @@
         """Routes in force, None before the first configuration; the version never decreases."""
         self.leaves_listed = False
         """Whether the leaves have been listed since the process started."""
-        self.evacuated_data_centres: set[str] = set()
-        """Data centres whose leaves get no requests."""
         self.pool_by_service: dict[str, ServicePool] = {}
         self._clock = clock
         self._location = location
@@ -120,6 +119,10 @@
         self._load_return = load_return
         self._observations = observations
         self._on_idle_closed = on_idle_closed
+        self._evacuations = Evacuations(
+            known_data_centres=region_by_data_centre, load_return=load_return, clock=clock
+        )
+        self._store_epoch: int | None = None
         self._data_centre_statistics = DataCentreStatistics()
         self._spill_over_log = SpillOverLog()
         self._host_count: int | None = None
@@ -133,6 +136,11 @@
         self._configured_services: set[str] = set()
         """Services that the routes in force name."""
 
+    @property
+    def evacuated_data_centres(self) -> set[str]:
+        """Data centres whose leaves get no requests; always the same set."""
+        return self._evacuations.data_centres
+
     # Updates from the store.
 
     def on_listing(self, listing: StoredListing, since: float) -> None:
@@ -145,9 +153,9 @@
         routes = listing.item_by_key.get(ROUTES_KEY)
         if routes is not None:
             self._apply_routes(routes)
-        self._apply_evacuations(
-            {key for key in listing.item_by_key if key.startswith(EVACUATIONS_PREFIX)}
-        )
+        is_restored = self._store_epoch not in (None, listing.epoch)
+        self._store_epoch = listing.epoch
+        self._evacuations.on_listing(listing.item_by_key, is_restored=is_restored)
         leaves = [i for key, i in listing.item_by_key.items() if key.startswith(LEAVES_PREFIX)]
         self._apply_leaf_listing(leaves, listing.revision, since)
 
@@ -164,29 +172,7 @@
         elif key.startswith(LEAVES_PREFIX):
             self._apply_leaf_change(key, item, since)
         elif key.startswith(EVACUATIONS_PREFIX):
-            keys = {EVACUATIONS_PREFIX + name for name in self.evacuated_data_centres}
-            self._apply_evacuations(keys - {key} if item is None else keys | {key})
-
-    # Evacuations.
-
-    def _apply_evacuations(self, keys: set[str]) -> None:
-        evacuated = {key.removeprefix(EVACUATIONS_PREFIX) for key in keys}
-        for data_centre in sorted(evacuated - self.evacuated_data_centres):
-            _LOGGER.info(
-                "data centre evacuated",
-                data_centre=data_centre,
-                known=data_centre in self._region_by_data_centre,
-            )
-            if self._load_return is not None:
-                self._load_return.on_evacuated(data_centre)
-        for data_centre in sorted(self.evacuated_data_centres - evacuated):
-            _LOGGER.info("data centre in use again", data_centre=data_centre)
-            if self._load_return is not None:
-                self._load_return.on_withdrawn(data_centre, self._clock.now())
-                _LOGGER.info("load returns", data_centre=data_centre, seconds=RETURN_SECONDS)
-        # Changed in place, as the pools hold the same set.
-        self.evacuated_data_centres.clear()
-        self.evacuated_data_centres.update(evacuated)
+            self._evacuations.on_change(key, is_removed=item is None)
 
     # Routes.
 
@@ -429,11 +415,12 @@
             pool.set_host_count(host_count)
 
     def remove_expired(self, now: float) -> None:
-        """Removes leaves that can no longer be chosen, and services without leaves or routes.
+        """Removes what has expired: evacuations, leaves, services without leaves and routes.
 
         Args:
             now: Current clock, in seconds.
         """
+        self._evacuations.remove_expired(now)
         for service, pool in list(self.pool_by_service.items()):
             pool.remove_expired(now)
             if pool.is_empty and service not in self._configured_services:
--- a/filbertreach/gateway/tests/test_directory.py
+++ b/filbertreach/gateway/tests/test_directory.py
@@ -45,6 +45,19 @@
     return StoredListing({item.key: item for item in items}, 7)
 
 
+def test_a_listing_of_another_epoch_withdraws_no_evacuation(directory: Directory) -> None:
+    # Guards against a store that was restored from a copy and withdraws what it has lost.
+    evacuation = StoredItem("op/evacuate/north-1", b"", 3)
+    first = _listing(_leaf("a"), evacuation)._replace(epoch=4)
+    directory.on_listing(first, 0.0)
+    assert directory.evacuated_data_centres == {"north-1"}
+    directory.on_listing(_listing(_leaf("a"))._replace(epoch=5), 0.0)
+    assert directory.evacuated_data_centres == {"north-1"}
+    directory.on_listing(first._replace(epoch=5), 0.0)
+    directory.on_listing(_listing(_leaf("a"))._replace(epoch=5), 0.0)
+    assert directory.evacuated_data_centres == set()
+
+
 def test_keys_of_other_users_are_ignored(directory: Directory) -> None:
     # One watch covers all keys, including those of other users of the store.
     foreign = StoredItem("status/north", b"\xff", 2)
