--- a/filbertreach/gateway/_leaf_departures.py
+++ b/filbertreach/gateway/_leaf_departures.py
@@ -5,6 +5,7 @@
 
 from filbertreach.gateway._leaf_handle import LeafHandle
 from filbertreach.observability import get_logger
+from filbertreach.platform import LeafEntry
 from filbertreach.timing import Clock
 
 _LOGGER = get_logger(__name__)
@@ -30,6 +31,17 @@
     """Clock until which the leaf could be chosen as a last resort, in seconds."""
     seen_at: float
     """Clock when the leaf was last reported as leaving or unlisted, in seconds."""
+    sequence: int
+    """Number of the newest entry of the process that was seen."""
+
+    def is_newer_than(self, entry: LeafEntry) -> bool:
+        """Returns whether an entry is one that the process wrote before it was leaving.
+
+        Args:
+            entry: Entry of a leaf with the same id.
+        """
+        is_same_process = self.started_at_ms == entry.started_at_ms != 0
+        return is_same_process and entry.sequence < self.sequence
 
 
 class LeafDepartures:
@@ -76,6 +88,10 @@
                 )
         elif entry.leaving:
             self._depart(handle, until=self._last_write_at(since))
+        elif (known := self._departure_by_id.get(entry.leaf.id)) and known.is_newer_than(entry):
+            # A store that was restored from a copy lists the leaf as it was.
+            handle.tracker.leaving = True
+            self._depart(handle, until=known.usable_until)
         else:
             handle.usable_until = math.inf
             self._departure_by_id.pop(entry.leaf.id, None)
@@ -109,7 +125,9 @@
         statement = self._statement_by_process.get(process)
         if statement is None:
             until = min(self._last_write_at(now), now + _LAST_RESORT_SECONDS, handle.usable_until)
-            statement = _Departure(handle.entry.started_at_ms, until, now)
+            statement = _Departure(
+                handle.entry.started_at_ms, until, now, sequence=handle.entry.sequence
+            )
             _LOGGER.info("leaf says it is leaving", leaf=handle.leaf.id, service=self._service)
         self._statement_by_process[process] = statement._replace(seen_at=now)
         if current is not None and current.entry.process == process:
@@ -137,14 +155,17 @@
             until: Clock after which no request may be written to the leaf, in seconds.
         """
         now = self._clock.now()
-        started_at_ms = handle.entry.started_at_ms
+        started_at_ms, sequence = handle.entry.started_at_ms, handle.entry.sequence
         known = self._departure_by_id.get(handle.leaf.id)
         if known is not None and known.started_at_ms == started_at_ms:
             until = min(until, known.usable_until)
+            sequence = max(sequence, known.sequence)
         else:
             until = min(until, now + _LAST_RESORT_SECONDS)
         handle.usable_until = min(handle.usable_until, until)
-        self._departure_by_id[handle.leaf.id] = _Departure(started_at_ms, handle.usable_until, now)
+        self._departure_by_id[handle.leaf.id] = _Departure(
+            started_at_ms, handle.usable_until, now, sequence
+        )
 
     def _last_write_at(self, departed_after: float) -> float:
         """Returns the clock until which the draining bound allows a request to be written."""
--- a/filbertreach/gateway/tests/test_service_pool.py
+++ b/filbertreach/gateway/tests/test_service_pool.py
@@ -21,9 +21,11 @@
 _LOCATION = Location("minho", "minho-1")
 
 
-def _entry(leaf_id: str, region: str, *, leaving: bool = False, born: int = 1) -> LeafEntry:
+def _entry(
+    leaf_id: str, region: str, *, leaving: bool = False, born: int = 1, sequence: int = 0
+) -> LeafEntry:
     leaf = Leaf(leaf_id, f"10.0.0.1:{8000 + len(leaf_id)}", region, f"{region}-1")
-    return LeafEntry(leaf, "fleet", 2, leaving, born)
+    return LeafEntry(leaf, "fleet", 2, leaving, born, sequence=sequence)
 
 
 def _pool(clock: FakeClock, *, drain_seconds: float = 3.0) -> ServicePool:
@@ -196,6 +198,36 @@
     assert pool.handle_by_id["a"].usable_until == math.inf
 
 
+@pytest.mark.parametrize(
+    ("born", "sequence", "is_older"),
+    [
+        # The entry that the leaf wrote before it was leaving.
+        (1, 4, True),
+        # The leaf has written again since.
+        (1, 6, False),
+        # It has started again, which begins the numbers anew.
+        (2, 1, False),
+    ],
+)
+@pytest.mark.parametrize("handle_is_removed", [False, True])
+def test_an_older_entry_does_not_end_a_departure(
+    handle_is_removed: bool, born: int, sequence: int, is_older: bool
+) -> None:
+    # Guards against requests after the draining bound: a store that was restored from a copy lists
+    # a leaf as it was before it began to leave.
+    clock = FakeClock(start=100.0)
+    pool = _pool(clock)
+    pool.update_leaf(_entry("a", "minho", sequence=4), since=0.0)
+    pool.update_leaf(_entry("a", "minho", leaving=True, sequence=5), since=100.0)
+    clock.advance(10.0 if handle_is_removed else 1.0)
+    pool.remove_expired(clock.now())
+    for _ in range(2):
+        pool.update_leaf(_entry("a", "minho", born=born, sequence=sequence), since=clock.now())
+        handle = pool.handle_by_id["a"]
+        assert handle.usable_until == (102.0 if is_older else math.inf)
+        assert handle.tracker.leaving is is_older
+
+
 def test_a_leaf_that_is_leaving_in_the_first_listing_is_not_used() -> None:
     # Guards against requests to a leaf that had left before this process started.
     clock = FakeClock(start=100.0)
