--- a/filbertreach/gateway/_response_parser.py
+++ b/filbertreach/gateway/_response_parser.py
@@ -39,6 +39,7 @@
 """Interim responses (1xx) before a final one."""
 _MIN_LARGE_PART_BYTES = 256
 """Mean bytes for each header and part of a body from which a response is cheap to parse."""
+_MIN_STATUS = 100
 _MAX_STATUS = 599
 _PART_BYTES = 16 * 1024
 """Bytes of a part in which a body is kept until it is complete."""
@@ -238,8 +239,11 @@
 
     def on_headers_complete(self) -> None:
         """Starts the body; a response to HEAD is complete here."""
+        status = self._parser.get_status_code()
+        if not _MIN_STATUS <= status <= _MAX_STATUS:
+            raise InvalidResponseError(f"status {status:03} does not exist")
         self._in_body = True
-        if self.head_only and self._parser.get_status_code() >= 200:
+        if self.head_only and status >= 200:
             self._complete_response(keep_alive=False)
 
     def on_body(self, data: bytes) -> None:
@@ -266,7 +270,5 @@
         self._interim_count = 0
         self._overhead_bytes = 0
         status = self._parser.get_status_code()
-        if status > _MAX_STATUS:
-            raise InvalidResponseError(f"status {status} does not exist")
         self._responses.append(RawResponse(status, self._headers, self._body.content(), keep_alive))
         self._body = _Body()
--- a/filbertreach/gateway/tests/test_leaf_connection.py
+++ b/filbertreach/gateway/tests/test_leaf_connection.py
@@ -18,6 +18,8 @@
 _SECONDS = 10.0
 """Timeout of each test; a test that passes does not wait for it."""
 
+_HEAD = b"HTTP/1.1 %s Status\r\nX-Server-Stamp: stamp\r\nX-Request-Id: one\r\n"
+
 Serve = Callable[[anyio.abc.SocketStream], Awaitable[None]]
 
 
@@ -122,6 +124,12 @@
         # An answer without a request id, or with another one, belongs to another request.
         (b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n", True, None),
         (_response("other"), True, FaultKind.CONNECTION_LOST),
+        # A status that does not exist, with a length and without.
+        *[
+            (_HEAD % status + framing + b"\r\nbody", closes, FaultKind.INVALID)
+            for status in (b"000", b"001", b"099", b"600", b"999")
+            for framing, closes in ((b"Content-Length: 4\r\n", False), (b"", True))
+        ],
     ],
 )
 def test_an_incomplete_or_invalid_answer_is_a_fault(
