--- a/filbertreach/gateway/_neighbours.py
+++ b/filbertreach/gateway/_neighbours.py
@@ -4,7 +4,6 @@
 """
 
 import collections
-import contextlib
 import hashlib
 import random
 import urllib.parse
@@ -17,14 +16,13 @@
 from returns.result import Failure, Result, Success
 
 from filbertreach.observability import get_logger
-from filbertreach.platform import ExchangeError, HttpChannel, HttpResponse
+from filbertreach.platform import ChannelPool, ExchangeError, HttpResponse
 from filbertreach.schema import (
     InvalidMessageError,
     JsonDecoder,
     KnownHost,
     KnownHosts,
     StoreNews,
-    base_url,
     parse_address,
 )
 from filbertreach.timing import Clock
@@ -122,7 +120,7 @@
         from hosts that are excluded as reader."""
         self._observation_excluded_until_by_name: dict[str, float] = {}
         """Hosts that do not merge observations may still read the store."""
-        self._channel_by_address: dict[str, HttpChannel] = {}
+        self._channels = ChannelPool(timeout_seconds=EXCHANGE_TIMEOUT_SECONDS)
 
     async def __aenter__(self) -> Self:
         """Returns this object; connections are opened on demand."""
@@ -135,9 +133,7 @@
         trace: TracebackType | None,
     ) -> None:
         """Closes all connections."""
-        async with contextlib.AsyncExitStack() as stack:
-            for channel in self._channel_by_address.values():
-                stack.push_async_exit(channel)
+        await self._channels.__aexit__(kind, error, trace)
 
     # Membership.
 
@@ -379,12 +375,7 @@
     async def _get(
         self, address: str, path: str, query: dict[str, str], *, wait_seconds: float
     ) -> HttpResponse:
-        channel = self._channel_by_address.get(address)
-        if channel is None:
-            channel = HttpChannel(
-                base_url=base_url(address), timeout_seconds=EXCHANGE_TIMEOUT_SECONDS
-            )
-            self._channel_by_address[address] = channel
+        channel = self._channels.channel(address, path)
         target = f"{path}?{urllib.parse.urlencode(query)}"
         answer = await channel.exchange(method="GET", target=target, extra_seconds=wait_seconds)
         if answer.status != 200:
--- a/filbertreach/gateway/_retry_handover.py
+++ b/filbertreach/gateway/_retry_handover.py
@@ -1,6 +1,5 @@
 """Hands the counts of retry budgets to other hosts at the stop, and asks for them at the start."""
 
-import contextlib
 import urllib.parse
 import zlib
 from types import TracebackType
@@ -16,8 +15,8 @@
     encode_histories,
 )
 from filbertreach.observability import get_logger
-from filbertreach.platform import ExchangeError, HttpChannel, HttpResponse
-from filbertreach.schema import JsonDecoder, KnownHost, RetryHistories, base_url
+from filbertreach.platform import ChannelPool, ExchangeError, HttpResponse
+from filbertreach.schema import JsonDecoder, KnownHost, RetryHistories
 from filbertreach.timing import Clock
 
 RETRY_HISTORIES_PATH = "/v1/retry-histories"
@@ -85,7 +84,7 @@
         self._hosts = hosts
         self._budgets = budgets
         self._clock = clock
-        self._channel_by_address: dict[str, HttpChannel] = {}
+        self._channels = ChannelPool(timeout_seconds=_TIMEOUT_SECONDS)
 
     async def __aenter__(self) -> Self:
         """Returns this object; connections are opened on demand."""
@@ -98,9 +97,7 @@
         trace: TracebackType | None,
     ) -> None:
         """Closes all connections."""
-        async with contextlib.AsyncExitStack() as stack:
-            for channel in self._channel_by_address.values():
-                stack.push_async_exit(channel)
+        await self._channels.__aexit__(kind, error, trace)
 
     def answer(self, host: str) -> RetryHistories:
         """Returns what is known of a host that starts.
@@ -167,10 +164,7 @@
         self, holder: KnownHost, method: str, target: str, body: bytes | None = None
     ) -> HttpResponse:
         address = holder["address"]
-        channel = self._channel_by_address.get(address)
-        if channel is None:
-            channel = HttpChannel(base_url=base_url(address), timeout_seconds=_TIMEOUT_SECONDS)
-            self._channel_by_address[address] = channel
+        channel = self._channels.channel(address, RETRY_HISTORIES_PATH)
         answer = await channel.exchange(method=method, target=target, body=body)
         if answer.status != 200:
             raise ExchangeError(f"{address}{target}: status {answer.status}", sent=True)
--- a/filbertreach/leaf_observations/_client.py
+++ b/filbertreach/leaf_observations/_client.py
@@ -1,6 +1,5 @@
 """HTTP exchanges about leaves with the gateway that merges the observations."""
 
-import contextlib
 import urllib.parse
 import zlib
 from types import TracebackType
@@ -9,8 +8,8 @@
 import msgspec
 
 from filbertreach.leaf_observations._metrics import OBSERVATION_EXCHANGES
-from filbertreach.platform import ExchangeError, HttpChannel, HttpResponse
-from filbertreach.schema import JsonDecoder, LeafReports, MergedLeafStates, base_url
+from filbertreach.platform import ChannelPool, ExchangeError, HttpResponse
+from filbertreach.schema import JsonDecoder, LeafReports, MergedLeafStates
 
 REPORTS_PATH = "/v1/leaf-reports"
 """Path at which a gateway takes the observations of others."""
@@ -33,7 +32,7 @@
 
     def __init__(self) -> None:
         """Creates a client without connections; they are opened when needed."""
-        self._channel_by_target: dict[tuple[str, str], HttpChannel] = {}
+        self._channels = ChannelPool(timeout_seconds=REQUEST_TIMEOUT_SECONDS)
 
     async def __aenter__(self) -> Self:
         """Returns the client."""
@@ -46,9 +45,7 @@
         trace: TracebackType | None,
     ) -> None:
         """Closes all connections."""
-        async with contextlib.AsyncExitStack() as stack:
-            for channel in self._channel_by_target.values():
-                stack.push_async_exit(channel)
+        await self._channels.__aexit__(kind, error, trace)
 
     async def report(self, address: str, reports: LeafReports) -> None:
         """Sends observations.
@@ -61,7 +58,7 @@
             ObservationError: The gateway did not take them in time.
         """
         try:
-            answer = await self._channel(address, REPORTS_PATH).exchange(
+            answer = await self._channels.channel(address, REPORTS_PATH).exchange(
                 method="POST", target=REPORTS_PATH, body=msgspec.json.encode(reports)
             )
             _check_status(answer)
@@ -85,7 +82,7 @@
         """
         query = urllib.parse.urlencode({"after": after, "wait_ms": round(wait_seconds * 1000)})
         try:
-            answer = await self._channel(address, STATES_PATH).exchange(
+            answer = await self._channels.channel(address, STATES_PATH).exchange(
                 method="GET", target=f"{STATES_PATH}?{query}", extra_seconds=wait_seconds
             )
             _check_status(answer)
@@ -97,16 +94,6 @@
         OBSERVATION_EXCHANGES.labels("poll", "answered").inc()
         return states
 
-    def _channel(self, address: str, path: str) -> HttpChannel:
-        # A timeout of one path gives up the connections of its channel, so each has its own.
-        channel = self._channel_by_target.get((address, path))
-        if channel is None:
-            channel = HttpChannel(
-                base_url=base_url(address), timeout_seconds=REQUEST_TIMEOUT_SECONDS
-            )
-            self._channel_by_target[address, path] = channel
-        return channel
-
 
 def _check_status(answer: HttpResponse) -> None:
     if answer.status != 200:
--- a/filbertreach/quarantine/_notice_sender.py
+++ b/filbertreach/quarantine/_notice_sender.py
@@ -10,9 +10,9 @@
 import msgspec
 
 from filbertreach.observability import get_logger
-from filbertreach.platform import ExchangeError, HttpChannel
+from filbertreach.platform import ChannelPool, ExchangeError
 from filbertreach.quarantine._metrics import NOTICES
-from filbertreach.schema import QuarantineNotice, base_url
+from filbertreach.schema import QuarantineNotice
 
 NOTICE_PATH = "/v1/quarantine"
 """Path at which a gateway takes messages about losses."""
@@ -43,7 +43,7 @@
 
     def __init__(self) -> None:
         """Creates a sender without connections."""
-        self._channel_by_address: dict[str, HttpChannel] = {}
+        self._channels = ChannelPool(timeout_seconds=_TIMEOUT_SECONDS)
         self._sending = 0
         self._unresponsive_addresses: set[str] = set()
         """Addresses that did not answer the last message."""
@@ -53,7 +53,7 @@
     async def __aenter__(self) -> Self:
         """Prepares the tasks."""
         await self._stack.__aenter__()
-        self._stack.push_async_callback(self._close)
+        await self._stack.enter_async_context(self._channels)
         self._group = await self._stack.enter_async_context(anyio.create_task_group())
         return self
 
@@ -68,11 +68,6 @@
         self._group.cancel_scope.cancel()
         return await self._stack.__aexit__(kind, error, trace)
 
-    async def _close(self) -> None:
-        async with contextlib.AsyncExitStack() as stack:
-            for channel in self._channel_by_address.values():
-                stack.push_async_exit(channel)
-
     def send(self, notice: QuarantineNotice, addresses: Iterable[str]) -> None:
         """Starts to send a message; hosts that do not answer miss it.
 
@@ -90,10 +85,7 @@
             self._group.start_soon(self._send_to, address, body)
 
     async def _send_to(self, address: str, body: bytes) -> None:
-        channel = self._channel_by_address.get(address)
-        if channel is None:
-            channel = HttpChannel(base_url=base_url(address), timeout_seconds=_TIMEOUT_SECONDS)
-            self._channel_by_address[address] = channel
+        channel = self._channels.channel(address, NOTICE_PATH)
         try:
             answer = await channel.exchange(method="POST", target=NOTICE_PATH, body=body)
             failure = "" if answer.status == 200 else f"status {answer.status}"
--- a/filbertreach/quotas/_client.py
+++ b/filbertreach/quotas/_client.py
@@ -1,13 +1,12 @@
 """HTTP exchanges about quotas with other gateways."""
 
-import contextlib
 import zlib
 from types import TracebackType
 from typing import Self, TypeVar
 
 import msgspec
 
-from filbertreach.platform import ExchangeError, HttpChannel
+from filbertreach.platform import ChannelPool, ExchangeError
 from filbertreach.quotas._metrics import QUOTA_EXCHANGES
 from filbertreach.schema import (
     JsonDecoder,
@@ -15,7 +14,6 @@
     QuotaReply,
     QuotaReport,
     QuotaRequest,
-    base_url,
 )
 
 QUOTA_PATH = "/v1/quota"
@@ -46,7 +44,7 @@
 
     def __init__(self) -> None:
         """Creates a client without connections; they are opened when needed."""
-        self._channel_by_target: dict[tuple[str, str], HttpChannel] = {}
+        self._channels = ChannelPool(timeout_seconds=_REPORT_TIMEOUT_SECONDS)
 
     async def __aenter__(self) -> Self:
         """Returns the client."""
@@ -59,9 +57,7 @@
         trace: TracebackType | None,
     ) -> None:
         """Closes all connections."""
-        async with contextlib.AsyncExitStack() as stack:
-            for channel in self._channel_by_target.values():
-                stack.push_async_exit(channel)
+        await self._channels.__aexit__(kind, error, trace)
 
     async def request(self, address: str, request: QuotaRequest) -> QuotaReply:
         """Asks a quota host for requests.
@@ -90,14 +86,8 @@
     async def _exchange(
         self, address: str, path: str, message: object, decoder: JsonDecoder[_Message], *, kind: str
     ) -> _Message:
-        channel = self._channel_by_target.get((address, path))
-        if channel is None:
-            is_request = path == QUOTA_PATH
-            channel = HttpChannel(
-                base_url=base_url(address),
-                timeout_seconds=REQUEST_TIMEOUT_SECONDS if is_request else _REPORT_TIMEOUT_SECONDS,
-            )
-            self._channel_by_target[address, path] = channel
+        timeout_seconds = REQUEST_TIMEOUT_SECONDS if path == QUOTA_PATH else None
+        channel = self._channels.channel(address, path, timeout_seconds=timeout_seconds)
         try:
             answer = await channel.exchange(
                 method="POST", target=path, body=msgspec.json.encode(message)
