--- a/filbertreach/gateway/_change_log.py
+++ b/filbertreach/gateway/_change_log.py
@@ -7,7 +7,7 @@
 import anyio
 
 from filbertreach.observability import get_logger
-from filbertreach.platform import StoredChange, StoredItem
+from filbertreach.platform import StoredChange, StoredItem, StoredListing
 from filbertreach.schema import StoreNews, StoreNewsItem
 from filbertreach.timing import Clock
 
@@ -49,6 +49,8 @@
         self._reaches_store = True
         self._complete_after = 0
         """Changes after this revision are retained without a gap."""
+        self._keys: set[str] = set()
+        """All keys of the store, to find those that a listing lacks."""
         self._changes: deque[StoredChange] = deque()
         self._retained_bytes = 0
         self._confirmed = anyio.Event()
@@ -58,6 +60,31 @@
         """Time since `as_of`."""
         return self._clock.now() - self.as_of
 
+    def apply_listing(self, listing: StoredListing, *, as_of: float) -> None:
+        """Applies a listing of the store.
+
+        What differs from before is recorded as changes, so that neighbours need no listing of their
+        own; they may be unable to read the store. A listing of another epoch starts the log anew.
+
+        Args:
+            listing: The listing.
+            as_of: Clock when the listing was requested, in seconds.
+        """
+        last_revision, last_keys = self.revision, self._keys
+        self._keys = set(listing.item_by_key)
+        is_same_history = listing.epoch == self.epoch and listing.revision >= (last_revision or 0)
+        if last_revision is None or not is_same_history:
+            self.reset(revision=listing.revision, as_of=as_of, epoch=listing.epoch)
+            return
+        changes = [
+            StoredChange(key, item, item.revision)
+            for key, item in listing.item_by_key.items()
+            if item.revision > last_revision
+        ]
+        changes += [StoredChange(key, None, listing.revision) for key in last_keys - self._keys]
+        self.append(sorted(changes, key=lambda change: change.revision))
+        self.confirm(revision=listing.revision, as_of=as_of)
+
     def reset(self, *, revision: int, as_of: float, epoch: int = 0) -> None:
         """Starts again from a listing of the store; changes before it are discarded.
 
@@ -82,11 +109,15 @@
         """
         for change in changes:
             self._changes.append(change)
+            if change.item is None:
+                self._keys.discard(change.key)
+            else:
+                self._keys.add(change.key)
             self._retained_bytes += _size_bytes(change)
             while len(self._changes) > _MAX_CHANGES or self._retained_bytes > _MAX_BYTES:
                 evicted = self._changes.popleft()
                 self._retained_bytes -= _size_bytes(evicted)
-                self._complete_after = evicted.revision
+                self._complete_after = max(self._complete_after, evicted.revision)
 
     def confirm(self, *, revision: int, as_of: float) -> None:
         """Records that the log was up to date; if that is news, wakes calls of `changes_since`.
--- a/filbertreach/gateway/_discovery.py
+++ b/filbertreach/gateway/_discovery.py
@@ -168,6 +168,8 @@
         self._started_at = clock.now()
         self._failure_count = 0
         self._retry_at = 0.0
+        self._must_list = True
+        """Whether the changes since the last known revision are lost, or none is known."""
         self._may_have_missed = False
         self._logged_source: str | None = ""
         STORE_AGE.set_function(lambda: clock.now() - max(self._started_at, change_log.as_of))
@@ -176,16 +178,16 @@
         """Follows the store until cancelled."""
         while True:
             now = self._clock.now()
-            revision = self._change_log.revision
             reader = self._choose_reader(now)
-            if revision is None or reader is None or self._must_call_store(now):
+            is_first = self._change_log.revision is None
+            if is_first or reader is None or self._must_call_store(now):
                 if now < self._retry_at:
                     # After the delay, a neighbour may have become the reader.
                     await self._sleep(self._retry_at - now)
                 else:
-                    await self._read_store(revision, is_reader=reader is None)
+                    await self._read_store(is_reader=reader is None)
             else:
-                await self._poll_reader(reader, revision, now)
+                await self._poll_reader(reader, now)
 
     def _choose_reader(self, now: float) -> KnownHost | None:
         """Returns the neighbour to follow, None if this host reads the store."""
@@ -196,14 +198,15 @@
 
     def _must_call_store(self, now: float) -> bool:
         """Returns whether this host has to call the store although a neighbour is the reader."""
-        return now >= self._retry_at and (
-            self._may_have_missed or self._change_log.age_seconds > _STALE_SECONDS
-        )
+        is_behind = self._must_list or self._may_have_missed
+        is_stale = self._change_log.age_seconds > _STALE_SECONDS
+        return now >= self._retry_at and (is_behind or is_stale)
 
     # Reading the store.
 
-    async def _read_store(self, revision: int | None, *, is_reader: bool) -> None:
-        if revision is None:
+    async def _read_store(self, *, is_reader: bool) -> None:
+        revision = self._change_log.revision
+        if revision is None or self._must_list:
             kind = "list"
             error = await self._list_store()
         else:
@@ -215,7 +218,7 @@
             self._log_source(None)
         if isinstance(error, HistoryLostError):
             _LOGGER.warning("history lost", after=revision, error=str(error))
-            self._change_log.revision = None
+            self._must_list = True
             error = None
         self._track_failures(error)
 
@@ -231,10 +234,8 @@
         exchange = _Exchange("list", sent_at, self._clock.now(), held_seconds=0.0)
         self._record_exchange(listing.item_by_key.values(), exchange)
         self._on_listing(listing, self._change_log.as_of)
-        self._change_log.reset(
-            revision=listing.revision, as_of=exchange.given_after, epoch=listing.epoch
-        )
-        self._may_have_missed = False
+        self._change_log.apply_listing(listing, as_of=exchange.given_after)
+        self._must_list = self._may_have_missed = False
         return None
 
     async def _watch_store(self, kind: str, revision: int) -> PlatformError | None:
@@ -297,8 +298,9 @@
 
     # Following the reader.
 
-    async def _poll_reader(self, reader: KnownHost, revision: int, now: float) -> None:
-        assert self._neighbours is not None
+    async def _poll_reader(self, reader: KnownHost, now: float) -> None:
+        revision = self._change_log.revision
+        assert self._neighbours is not None and revision is not None
         result = await self._neighbours.fetch_changes(
             reader,
             after=revision,
@@ -331,7 +333,8 @@
             return "stale"
         if not reply["complete"] or epoch != self._change_log.epoch:
             self._may_have_missed = True
-            return "missed"
+            # Without the store, another neighbour may still have the changes.
+            return "missed" if exchange.received_at >= self._retry_at else "declined"
         changes = [decode_change(item) for item in reply["changes"] if item["revision"] > revision]
         self._record_exchange(changes, exchange)
         as_of = exchange.given_after - reply["age_seconds"]
--- a/filbertreach/gateway/tests/test_change_log.py
+++ b/filbertreach/gateway/tests/test_change_log.py
@@ -7,7 +7,7 @@
 import pytest
 
 from filbertreach.gateway._change_log import ChangeLog, decode_change
-from filbertreach.platform import StoredChange, StoredItem
+from filbertreach.platform import StoredChange, StoredItem, StoredListing
 from filbertreach.schema import StoreNews
 from filbertreach.timing import FakeClock, SystemClock
 
@@ -152,6 +152,46 @@
     anyio.run(run)
 
 
+def _listing(revision: int, *items: StoredItem, epoch: int = 0) -> StoredListing:
+    return StoredListing({item.key: item for item in items}, revision, epoch)
+
+
+def test_a_listing_is_recorded_as_changes() -> None:
+    # Guards against neighbours that have to list the store themselves after each lost history.
+    change_log = ChangeLog(clock=FakeClock())
+    same, changed, removed = (StoredItem(key, b"1", 3) for key in ("same", "changed", "removed"))
+    change_log.apply_listing(_listing(5, same, changed, removed), as_of=0.0)
+    change_log.append([_change("watched", 6)])
+    change_log.confirm(revision=6, as_of=0.0)
+    watched = StoredItem("watched", b"1", 6)
+    newer = changed._replace(revision=9)
+    # A page that was read later than the first one may show a later change.
+    added = StoredItem("added", b"1", 12)
+    change_log.apply_listing(_listing(11, same, newer, watched, added), as_of=0.0)
+    reply = anyio.run(lambda: change_log.changes_since(6, wait_seconds=0.01))
+    assert reply["complete"] and reply["revision"] == 11
+    assert [decode_change(item) for item in reply["changes"]] == [
+        StoredChange("changed", newer, 9),
+        StoredChange("removed", None, 11),
+        StoredChange("added", added, 12),
+    ]
+
+
+@pytest.mark.parametrize(("revision", "epoch"), [(20, 1), (4, 0)])
+def test_a_listing_of_another_history_starts_the_log_anew(revision: int, epoch: int) -> None:
+    # Guards against changes of a store before it was restored.
+    change_log, _ = _change_log()
+    change_log.apply_listing(_listing(revision, epoch=epoch), as_of=0.0)
+    assert change_log.revision == revision
+    for after in (3, 9):
+        reply = anyio.run(lambda after=after: change_log.changes_since(after, wait_seconds=0.01))
+        assert reply["changes"] == []
+    reply = anyio.run(
+        lambda: change_log.changes_since(revision - 1, wait_seconds=0.01, epoch=epoch)
+    )
+    assert not reply["complete"]
+
+
 @pytest.mark.parametrize("age_seconds", [0.0, 1.0])
 def test_an_answer_that_brings_nothing_new_wakes_no_neighbour(age_seconds: float) -> None:
     # Guards against hosts that follow each other and answer each other hundreds of times a second.
--- a/filbertreach/gateway/tests/test_configuration_bound.py
+++ b/filbertreach/gateway/tests/test_configuration_bound.py
@@ -93,6 +93,8 @@
         self.written_at: list[float] = []
         """Time at which each version was written, that of version N at N - 1."""
         self.epoch = 1
+        self.first_watchable = 0
+        """Smallest revision after which a watch is possible."""
         self._versions: list[int] = []
         """Version by revision, that of revision N at N - 1."""
         self._loop = loop
@@ -108,6 +110,11 @@
         self._versions.append(len(self.written_at))
         self._notify()
 
+    def write_and_forget(self) -> None:
+        """Writes the next version and drops the history before a watch has shown it."""
+        self.first_watchable = self.revision + 1
+        self.write()
+
     def restore(self, *, lost_changes: int) -> None:
         """Returns to a copy without the last changes, whose revisions are given out again."""
         del self._versions[-lost_changes:]
@@ -123,7 +130,7 @@
 
     async def wait_beyond(self, revision: int, seconds: float) -> None:
         with anyio.move_on_after(seconds):
-            while self.revision <= revision:
+            while self.revision == revision:
                 await self._changed.wait()
 
 
@@ -180,10 +187,10 @@
     async def _watch(self, after: int, wait_seconds: float) -> Result[Any, PlatformError]:
         with anyio.move_on_after(_CALL_TIMEOUT_SECONDS + wait_seconds):
             await self._link.send(_STORE_LINK_SECONDS)
-            if after > self._store.revision:
-                await self._link.receive(_STORE_LINK_SECONDS)
-                return Failure(HistoryLostError("no such revision"))
             await self._store.wait_beyond(after, wait_seconds)
+            if not self._store.first_watchable <= after <= self._store.revision:
+                await self._link.receive(_STORE_LINK_SECONDS)
+                return Failure(HistoryLostError("the history is gone"))
             epoch = self._store.epoch
             item = self._store.item()
             change = StoredChange(item.key, item, item.revision)
@@ -419,6 +426,26 @@
     assert _run(scenario, seed=seed, hosts=hosts) == []
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_a_lost_history_delays_no_change_at_hosts_that_the_store_turns_away(seed: int) -> None:
+    # Guards against a reader that lists the store again and no longer knows what has changed: hosts
+    # that can't list it themselves then got no changes at all.
+    async def scenario(fleet: _Fleet) -> list[_Late]:
+        rng = random.Random(seed)
+        await anyio.sleep(5.0 + rng.uniform(0.0, 2.0))
+        reader = fleet.reader()
+        for host in fleet.hosts:
+            if host is not reader and rng.random() < 0.5:
+                host.link.set_store_access(_StoreAccess.REFUSED)
+        for _ in range(9):
+            await anyio.sleep(rng.uniform(0.2, 1.5))
+            fleet.store.write_and_forget()
+        await anyio.sleep(_BOUND_SECONDS + 1.0)
+        return fleet.late()
+
+    assert _run(scenario, seed=seed, hosts=12) == []
+
+
 @pytest.mark.parametrize("written_again", range(5))
 @pytest.mark.parametrize("is_reader_cut", [False, True])
 def test_a_store_restored_from_a_copy_delays_no_change_beyond_the_bound(
