--- a/filbertreach/gateway/_service_pool.py
+++ b/filbertreach/gateway/_service_pool.py
@@ -5,19 +5,16 @@
 from typing import Any
 
 from filbertreach.decisions import (
-    DISTANCES,
-    Distance,
     LeafOutcome,
     LeafReport,
     LoadReturn,
-    ReplicaPolicy,
     ServiceAdmission,
     SpillPolicy,
     SpillReason,
-    make_replica_policy,
 )
 from filbertreach.gateway._cold_bound import ColdBound
 from filbertreach.gateway._exchange import Exchange
+from filbertreach.gateway._leaf_choice import CallTerms, LeafChoice
 from filbertreach.gateway._leaf_connection import LeafConnection
 from filbertreach.gateway._leaf_departures import LeafDepartures
 from filbertreach.gateway._leaf_handle import LeafHandle, Location
@@ -38,9 +35,6 @@
 unevenly over the hosts."""
 _DEFAULT_CONNECTIONS = 20
 """Connections per leaf of a service that the configuration does not contain yet."""
-_QUEUE_FACTOR = 4
-"""Limit of the calls in flight to a leaf as a multiple of its slots, if no leaf has a free slot; a
-leaf has a short queue."""
 
 _FAILURES = frozenset(
     {
@@ -110,11 +104,17 @@
         self._clock = clock
         self._spawn = spawn
         self._evacuated = evacuated
-        self._chooser: ReplicaPolicy = make_replica_policy(name="least_expected_wait")
         self._spill_over = spill_over
         self._spill_over_log = spill_over_log
         self._observed = observed
         self._on_idle_closed = on_idle_closed
+        self._choice = LeafChoice(
+            handle_by_id=self.handle_by_id,
+            is_permitted=self.is_permitted,
+            spill_over=spill_over,
+            observed=observed,
+            clock=clock,
+        )
         self._sent_out_reason: SpillReason | None = None
         """Why the leaf that was chosen last is in another data centre."""
         self._connections = _DEFAULT_CONNECTIONS
@@ -323,18 +323,14 @@
         if not repeatable:
             # A request that is lost at a failing leaf can't be sent again, so avoid suspect leaves.
             listed = [h for h in listed if h.tracker.state != "suspect"] or listed
+        terms = CallTerms(now, typical_seconds, priority, remaining_seconds)
         is_sent_by_load = False
         chosen: LeafHandle | None = None
         if not listed:
             chosen = min(last_resort, key=lambda h: h.tracker.in_flight, default=None)
         for leaves in self._paced(listed, now):
-            chosen, is_sent_by_load = self._choose_listed(
-                leaves,
-                now,
-                typical_seconds,
-                priority,
-                remaining_seconds,
-                may_probe=repeatable and not tried and not hedge,
+            chosen, is_sent_by_load = self._choice.choose(
+                leaves, terms, may_probe=repeatable and not tried and not hedge
             )
             if chosen is not None:
                 break
@@ -342,7 +338,7 @@
         if is_sent_by_load:
             self._sent_out_reason = "load"
         elif self._spill_over is not None and chosen is not None:
-            self._sent_out_reason = self._reason_to_leave(chosen, tried, regions)
+            self._sent_out_reason = self._choice.reason_to_leave(chosen, tried, regions)
         return chosen
 
     def _available_leaves(
@@ -404,149 +400,6 @@
             return [listed]
         return [others, listed]
 
-    def _choose_listed(
-        self,
-        listed: list[LeafHandle],
-        now: float,
-        typical_seconds: float | None,
-        priority: int,
-        remaining_seconds: float,
-        *,
-        may_probe: bool,
-    ) -> tuple[LeafHandle | None, bool]:
-        """Chooses a leaf; a failing one only for a probe, or if no other can take the call.
-
-        Returns:
-            The leaf, and whether load sends the request to a far leaf although a near one may get
-            it.
-        """
-        failing = self._observed.apply(listed, now) if self._observed is not None else ()
-        args = (now, typical_seconds, priority, remaining_seconds)
-        chosen, by_load = self._choose_among(listed, *args)
-        if self._observed is None or chosen not in failing or chosen is None:
-            return chosen, by_load
-        if may_probe and self._observed.try_probe():
-            return chosen, by_load
-        others = [handle for handle in listed if handle not in failing]
-        other, is_other_by_load = self._choose_among(others, *args) if others else (None, False)
-        if other is None:
-            self._observed.on_no_other()
-            return chosen, by_load
-        self._observed.on_avoided(chosen, now)
-        return other, is_other_by_load
-
-    def _choose_among(
-        self,
-        allowed: list[LeafHandle],
-        now: float,
-        typical_seconds: float | None,
-        priority: int,
-        remaining_seconds: float,
-    ) -> tuple[LeafHandle | None, bool]:
-        if self._spill_over is None:
-            return self._choose_by_wait(allowed, now, typical_seconds), False
-        return self._choose_by_costs(
-            self._spill_over, allowed, now, typical_seconds, priority, remaining_seconds
-        )
-
-    def _choose_by_wait(
-        self, listed: list[LeafHandle], now: float, typical_seconds: float | None
-    ) -> LeafHandle | None:
-        """Chooses the leaf with the least expected wait, with fixed penalties for far leaves."""
-        tracker = self._chooser.choose(
-            [h.tracker for h in listed], now, typical_seconds=typical_seconds
-        )
-        if tracker is not None:
-            return self.handle_by_id[tracker.leaf.id]
-        return self._least_loaded(listed)
-
-    def _choose_by_costs(
-        self,
-        spill_over: SpillPolicy,
-        listed: list[LeafHandle],
-        now: float,
-        typical_seconds: float | None,
-        priority: int,
-        remaining_seconds: float,
-    ) -> tuple[LeafHandle | None, bool]:
-        """Chooses a leaf by the spill-over policy.
-
-        Returns:
-            The leaf, and whether load sends the request to a far leaf although a near one may get
-            it.
-        """
-        nearest = self._nearest()
-        choice = spill_over.choose(
-            [h.candidate for h in listed],
-            now,
-            nearest=nearest,
-            typical_seconds=typical_seconds,
-            priority=priority,
-            remaining_seconds=remaining_seconds,
-        )
-        if choice is not None:
-            return self.handle_by_id[choice.tracker.leaf.id], choice.by_load
-        near = [
-            h for h in listed if h.candidate.distance == nearest and h.tracker.state != "suspect"
-        ]
-        return self._least_loaded(near or listed), False
-
-    def _least_loaded(self, listed: list[LeafHandle]) -> LeafHandle | None:
-        """Returns the least loaded leaf with room in its queue, as none has a known free slot."""
-        with_queue_room = [
-            handle
-            for handle in listed
-            if handle.tracker.in_flight < _QUEUE_FACTOR * handle.entry.slots
-        ]
-        return min(
-            with_queue_room,
-            key=lambda h: (h.tracker.state == "suspect", h.tracker.in_flight),
-            default=None,
-        )
-
-    def _reason_to_leave(
-        self, chosen: LeafHandle, tried: Collection[str], regions: Set[str] | None
-    ) -> SpillReason | None:
-        """Returns why a leaf is in another data centre; None if it is in that of this host.
-
-        Args:
-            chosen: The leaf, chosen as no nearer one may get the call.
-            tried: Ids of leaves that were tried before.
-            regions: Regions whose leaves may get the request; None for all.
-        """
-        distance = chosen.candidate.distance
-        if distance == "near":
-            return None
-        nearer = DISTANCES[: DISTANCES.index(distance)]
-        nearer_ids = [
-            leaf_id
-            for leaf_id, handle in self.handle_by_id.items()
-            if handle.candidate.distance in nearer
-            and self._is_in_use(handle)
-            and self.is_permitted(handle, regions)
-        ]
-        if not nearer_ids:
-            return "no_near_leaf"
-        return "tried" if all(leaf_id in tried for leaf_id in nearer_ids) else "load"
-
-    def _is_in_use(self, handle: LeafHandle) -> bool:
-        """Returns whether a leaf is listed, not leaving, and neither suspect nor failing."""
-        if handle.usable_until < math.inf or handle.tracker.state == "suspect":
-            return False
-        observed = self._observed
-        if observed is None or observed.is_idle:
-            return True
-        return not observed.is_failing(handle, self._clock.now())
-
-    def _nearest(self) -> Distance:
-        """Returns the distance of the nearest leaves that are listed, in use and not suspect."""
-        distances = {
-            handle.candidate.distance
-            for handle in self.handle_by_id.values()
-            if self._is_in_use(handle) and self.is_permitted(handle, None)
-        }
-        return next((distance for distance in DISTANCES if distance in distances), "near")
-
     def send(
         self, handle: LeafHandle, exchange: Exchange, *, service_class: str = ""
     ) -> LeafConnection:
