--- a/filbertreach/gateway/_discovery.py
+++ b/filbertreach/gateway/_discovery.py
@@ -1,5 +1,6 @@
 """Follows the platform's store, directly or through the neighbour that is the reader."""
 
+import enum
 import random
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import NamedTuple, Protocol
@@ -65,6 +66,24 @@
 _LOGGER = get_logger(__name__)
 
 
+class _PollOutcome(enum.StrEnum):
+    """Outcome of a poll of the reader; also a label of the metric."""
+
+    OK = enum.auto()
+    MISSED = enum.auto()
+    """The reader lacks changes after this host's revision."""
+    STALE = enum.auto()
+    """The reader's data is too old."""
+    DECLINED = enum.auto()
+    """The reader does not read the store, or can't help this host."""
+    FAILED = enum.auto()
+    """There was no usable answer."""
+
+
+_EXCLUDING_OUTCOMES = frozenset({_PollOutcome.STALE, _PollOutcome.DECLINED, _PollOutcome.FAILED})
+"""Outcomes after which another host is tried as reader."""
+
+
 class _Exchange(NamedTuple):
     """An answered call to the store or to the reader."""
 
@@ -126,7 +145,9 @@
     It lists all keys and then watches them; if a change may have been missed, it lists them again.
     One watch covers routes and leaves, because each call is charged for. With neighbours, only the
     reader of a data centre watches the store, and the others poll the reader. A host whose data is
-    older than a bound calls the store itself, whatever the state of its neighbours.
+    older than a bound calls the store itself, whatever the state of its neighbours. A host that
+    neighbours poll reads the store itself, unless its last call to the store failed; it then tells
+    them so, and they poll another one.
     """
 
     def __init__(
@@ -315,10 +336,10 @@
                 )
                 outcome = self._apply_reply(reply, revision, exchange)
             case Failure(error):
-                outcome = "failed"
+                outcome = _PollOutcome.FAILED
                 _LOGGER.info("neighbour did not answer", neighbour=reader["name"], error=str(error))
         READER_POLLS.labels(outcome).inc()
-        if outcome in ("failed", "stale", "declined"):
+        if outcome in _EXCLUDING_OUTCOMES:
             self._neighbours.exclude(reader["name"])
 
     def _poll_wait(self, now: float) -> float:
@@ -326,22 +347,23 @@
         due_at = self._change_log.as_of + _STALE_SECONDS
         return max(_MIN_POLL_SECONDS, due_at - EXCHANGE_TIMEOUT_SECONDS - now)
 
-    def _apply_reply(self, reply: StoreNews, revision: int, exchange: _Exchange) -> str:
+    def _apply_reply(self, reply: StoreNews, revision: int, exchange: _Exchange) -> _PollOutcome:
         epoch = reply.get("epoch", 0)
         if epoch < self._change_log.epoch:
             # The reader has not noticed yet that the store was restored.
-            return "stale"
+            return _PollOutcome.STALE
         if not reply["complete"] or epoch != self._change_log.epoch:
             self._may_have_missed = True
             # Without the store, another neighbour may still have the changes.
-            return "missed" if exchange.received_at >= self._retry_at else "declined"
+            may_call_store = exchange.received_at >= self._retry_at
+            return _PollOutcome.MISSED if may_call_store else _PollOutcome.DECLINED
         changes = [decode_change(item) for item in reply["changes"] if item["revision"] > revision]
         self._record_exchange(changes, exchange)
         as_of = exchange.given_after - reply["age_seconds"]
         self._apply(changes, reply["revision"], as_of=as_of, since=self._change_log.as_of)
         if exchange.received_at - as_of > _STALE_SECONDS:
-            return "stale"
-        return "ok" if reply.get("reads_store", True) else "declined"
+            return _PollOutcome.STALE
+        return _PollOutcome.OK if reply.get("reads_store", True) else _PollOutcome.DECLINED
 
     def _apply(
         self, changes: Sequence[StoredChange], revision: int, *, as_of: float, since: float
--- a/filbertreach/gateway/_neighbours.py
+++ b/filbertreach/gateway/_neighbours.py
@@ -5,6 +5,7 @@
 
 import collections
 import hashlib
+import math
 import random
 import urllib.parse
 import zlib
@@ -42,7 +43,7 @@
 """Mean interval of further announcements, each to one seed only, because traffic between regions is
 expensive."""
 _EXCLUSION_SECONDS = 6.0
-"""Time for which a host is not chosen as reader after it did not answer or had only stale data."""
+"""Time for which a host is not chosen after it did not answer or could not help."""
 _MAX_HOSTS = 100_000
 """Hosts that a fleet may have at most; limits are divided by their number."""
 _MAX_LISTED_HOSTS = 10_000
@@ -87,6 +88,31 @@
     """Clock when the number was known, in seconds."""
 
 
+class _Exclusions:
+    """Hosts that are not chosen for a task for some seconds."""
+
+    def __init__(self, *, clock: Clock) -> None:
+        """Creates a state without excluded hosts.
+
+        Args:
+            clock: Source of time.
+        """
+        self._clock = clock
+        self._until_by_name: dict[str, float] = {}
+
+    def __contains__(self, name: str) -> bool:
+        """Returns whether a host is excluded now."""
+        return self._until_by_name.get(name, -math.inf) > self._clock.now()
+
+    def add(self, name: str) -> None:
+        """Excludes a host from now on.
+
+        Args:
+            name: Name of the host.
+        """
+        self._until_by_name[name] = self._clock.now() + _EXCLUSION_SECONDS
+
+
 class Neighbours:
     """Tracks gateways on other hosts, which announce themselves to the seeds; a context manager.
 
@@ -114,12 +140,10 @@
         self._recent_sizes: collections.deque[_FleetSize] = collections.deque()
         """Numbers of hosts known within the last `_HOST_EXPIRY_SECONDS`, oldest first, without
         those after which at least as many were known."""
-        self._excluded_until_by_name: dict[str, float] = {}
-        self._quota_excluded_until_by_name: dict[str, float] = {}
-        """Hosts that do not answer about quotas may still read the store, so they are kept apart
-        from hosts that are excluded as reader."""
-        self._observation_excluded_until_by_name: dict[str, float] = {}
-        """Hosts that do not merge observations may still read the store."""
+        # Hosts that do not answer about quotas or observations may still read the store.
+        self._reader_exclusions = _Exclusions(clock=clock)
+        self._quota_exclusions = _Exclusions(clock=clock)
+        self._observation_exclusions = _Exclusions(clock=clock)
         self._channels = ChannelPool(timeout_seconds=EXCHANGE_TIMEOUT_SECONDS)
 
     async def __aenter__(self) -> Self:
@@ -207,14 +231,14 @@
         All hosts of a data centre try the candidates in the same order, by a hash of their names,
         and so normally choose the same one.
         """
-        return self._first_candidate(self._excluded_until_by_name)
+        return self._first_candidate(self._reader_exclusions)
 
     def quota_host(self) -> KnownHost | None:
         """Returns the neighbour that decides about quotas, None if this host does.
 
         It is the first candidate for the reader that answers about quotas.
         """
-        return self._first_candidate(self._quota_excluded_until_by_name)
+        return self._first_candidate(self._quota_exclusions)
 
     def candidates(self, count: int) -> list[KnownHost]:
         """Returns other hosts of this data centre, in the order in which they are tried as reader.
@@ -232,14 +256,14 @@
         Args:
             name: Name of the host.
         """
-        self._quota_excluded_until_by_name[name] = self._clock.now() + _EXCLUSION_SECONDS
+        self._quota_exclusions.add(name)
 
     def observation_host(self) -> KnownHost | None:
         """Returns the neighbour that merges observations of leaves, None if this host does.
 
         It is the first candidate for the reader that answers about them.
         """
-        return self._first_candidate(self._observation_excluded_until_by_name)
+        return self._first_candidate(self._observation_exclusions)
 
     def exclude_observation_host(self, name: str) -> None:
         """Excludes a host from the choice of the one that merges observations for some seconds.
@@ -247,7 +271,7 @@
         Args:
             name: Name of the host.
         """
-        self._observation_excluded_until_by_name[name] = self._clock.now() + _EXCLUSION_SECONDS
+        self._observation_exclusions.add(name)
 
     def local_host_names(self) -> list[str]:
         """Returns the names of the live hosts of this data centre, this one included."""
@@ -283,11 +307,10 @@
         local = self._local_hosts(now)
         return sorted(local, key=lambda h: (zlib.crc32(h["name"].encode()), h["name"]))
 
-    def _first_candidate(self, excluded_until_by_name: dict[str, float]) -> KnownHost | None:
+    def _first_candidate(self, exclusions: _Exclusions) -> KnownHost | None:
         """Returns the first host of this data centre that is not excluded, None for this one."""
-        now = self._clock.now()
-        for host in self._ordered_hosts(now):
-            if excluded_until_by_name.get(host["name"], now) > now:
+        for host in self._ordered_hosts(self._clock.now()):
+            if host["name"] in exclusions:
                 continue
             return None if host["name"] == self._own["name"] else host
         return None
@@ -298,7 +321,7 @@
         Args:
             name: Name of the host, which may be this one.
         """
-        self._excluded_until_by_name[name] = self._clock.now() + _EXCLUSION_SECONDS
+        self._reader_exclusions.add(name)
 
     async def run(self) -> None:
         """Announces this host to the seeds until cancelled."""
