--- a/filbertreach/gateway/_change_log.py
+++ b/filbertreach/gateway/_change_log.py
@@ -142,9 +142,10 @@
         Args:
             reaches_store: Whether the last call of this host to the store succeeded.
         """
-        if self._reaches_store and not reaches_store:
-            self._notify()
+        is_lost = self._reaches_store and not reaches_store
         self._reaches_store = reaches_store
+        if is_lost:
+            self._notify()
 
     def _notify(self) -> None:
         self._confirmed.set()
--- a/filbertreach/gateway/_discovery.py
+++ b/filbertreach/gateway/_discovery.py
@@ -360,7 +360,10 @@
         changes = [decode_change(item) for item in reply["changes"] if item["revision"] > revision]
         self._record_exchange(changes, exchange)
         as_of = exchange.given_after - reply["age_seconds"]
-        self._apply(changes, reply["revision"], as_of=as_of, since=self._change_log.as_of)
+        previous_as_of = self._change_log.as_of
+        # A reader that is behind does not know whether what this host has is still current.
+        confirmed_as_of = as_of if reply["revision"] >= revision else previous_as_of
+        self._apply(changes, reply["revision"], as_of=confirmed_as_of, since=previous_as_of)
         if exchange.received_at - as_of > _STALE_SECONDS:
             return _PollOutcome.STALE
         return _PollOutcome.OK if reply.get("reads_store", True) else _PollOutcome.DECLINED
--- a/filbertreach/gateway/tests/test_discovery.py
+++ b/filbertreach/gateway/tests/test_discovery.py
@@ -316,6 +316,18 @@
             [["a"], ("b", True)],
             [],
         ),
+        # Nor does it confirm what this host has: the store may have gone back to an older copy.
+        (
+            [_listing(5, "a"), _changes(8, ("c", True))],
+            [
+                {"revision": 7, "changes": [("b", 7)]},
+                *[{"revision": 4, "after_seconds": 1.0, "held": 1.0}] * 3,
+            ],
+            ["list", "watch 7"],
+            [5, 7, 7, 7, 8],
+            [["a"], ("b", True), ("c", True)],
+            [],
+        ),
         # If the reader does not answer, this host reads the store itself.
         (
             [_listing(5, "a"), _changes(6, ("b", True))],
--- a/filbertreach/gateway/tests/test_neighbours.py
+++ b/filbertreach/gateway/tests/test_neighbours.py
@@ -218,6 +218,8 @@
         "/v1/news?after=1&wait_ms=" + "9" * 400,
         "/v1/news?after=" + "9" * 5_000 + "&wait_ms=1",
         "/v1/news?after=1&wait_ms=-1",
+        "/v1/news?after=1&wait_ms=1&epoch=x",
+        "/v1/news?after=1&wait_ms=1&epoch=-1",
         "/v1/news",
         "/v1/other",
         f"/v1/hosts?name={'a' * 5_000}&address=127.0.0.1:9&data_centre=b",
