--- a/filbertreach/gateway/_discovery.py
+++ b/filbertreach/gateway/_discovery.py
@@ -232,7 +232,7 @@
             error = await self._list_store()
         else:
             kind = "watch" if is_reader else "catch up"
-            error = await self._watch_store(kind, revision)
+            error = await self._watch_store(revision, kind=kind, is_reader=is_reader)
         outcome = "ok" if error is None else type(error).__name__
         STORE_CALLS.labels(kind, outcome).inc()
         if is_reader:
@@ -259,9 +259,10 @@
         self._must_list = self._may_have_missed = False
         return None
 
-    async def _watch_store(self, kind: str, revision: int) -> PlatformError | None:
+    async def _watch_store(
+        self, revision: int, *, kind: str, is_reader: bool
+    ) -> PlatformError | None:
         """Watches the store once; returns the error if that fails."""
-        is_reader = kind == "watch"
         wait_seconds = self._watch_wait() if is_reader else _CATCH_UP_SECONDS
         sent_at = self._clock.now()
         match await self._store.watch(ALL_KEYS, after=revision, wait_seconds=wait_seconds):
--- a/filbertreach/gateway/tests/test_configuration_bound.py
+++ b/filbertreach/gateway/tests/test_configuration_bound.py
@@ -271,7 +271,7 @@
 
 
 class _Fleet:
-    """Hosts of one data centre; a context manager is not needed, as tasks end with the run."""
+    """Hosts of one data centre."""
 
     def __init__(self, loop: VirtualTimeLoop, hosts: int) -> None:
         self.loop = loop
