--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -407,7 +407,7 @@
 @_fuzz
 @given(_mutated_compressed(_NEIGHBOUR_CHANGES))
 def test_changes_from_neighbours(data: bytes) -> None:
-    with mock.patch("filbertreach.gateway._neighbours.HttpChannel", lambda **_: _Channel(data)):
+    with mock.patch("filbertreach.platform._channel_pool.HttpChannel", lambda **_: _Channel(data)):
         result = anyio.run(_fetch_changes, _neighbours())
     if isinstance(result, Success):
         reply = result.unwrap()
@@ -424,7 +424,7 @@
 @given(_mutated_compressed(_KNOWN_HOSTS))
 def test_hosts_from_neighbours(data: bytes) -> None:
     neighbours = _neighbours()
-    with mock.patch("filbertreach.gateway._neighbours.HttpChannel", lambda **_: _Channel(data)):
+    with mock.patch("filbertreach.platform._channel_pool.HttpChannel", lambda **_: _Channel(data)):
         anyio.run(neighbours._announce_to, _READER["address"])
     assert (neighbours.fleet_size() or 1) >= 1
     reader = neighbours.reader()
