--- a/filbertreach/gateway/tests/test_discovery.py
+++ b/filbertreach/gateway/tests/test_discovery.py
@@ -69,6 +69,16 @@
     )
 
 
+def _sleep_on(clock: FakeClock) -> Callable[[float], Awaitable[None]]:
+    """Returns a sleep that advances the clock instead of waiting."""
+
+    async def sleep(seconds: float) -> None:
+        clock.advance(seconds)
+        await anyio.sleep(0)
+
+    return sleep
+
+
 def _follow(
     *,
     store: _Store,
@@ -143,17 +153,12 @@
     events: list[Any] = []
 
     clock = FakeClock()
-
-    async def sleep(seconds: float) -> None:
-        clock.advance(seconds)
-        await anyio.sleep(0)
-
     _follow(
         store=store,
         clock=clock,
         on_listing=lambda listing, since: events.append(list(listing.item_by_key)),
         on_change=lambda key, item, since: events.append((key, item is not None)),
-        sleep=sleep,
+        sleep=_sleep_on(clock),
     )
     assert store.calls == calls
     assert events == seen
@@ -430,17 +435,13 @@
     neighbours = _Neighbours(replies, clock)
     events: list[Any] = []
 
-    async def sleep(seconds: float) -> None:
-        clock.advance(seconds)
-        await anyio.sleep(0)
-
     _follow(
         store=store,
         clock=clock,
         neighbours=neighbours,
         on_listing=lambda listing, since: events.append(list(listing.item_by_key)),
         on_change=lambda key, item, since: events.append((key, item is not None)),
-        sleep=sleep,
+        sleep=_sleep_on(clock),
     )
     assert store.calls == calls
     assert neighbours.asked == asked
@@ -498,10 +499,6 @@
     change_log = ChangeLog(clock=clock)
     change_log.asked_at = clock.now() - asked_seconds_ago
 
-    async def sleep(seconds: float) -> None:
-        clock.advance(seconds)
-        await anyio.sleep(0)
-
     _follow(
         store=store,
         clock=clock,
@@ -509,7 +506,7 @@
         neighbours=neighbours,
         on_listing=lambda listing, since: None,
         on_change=lambda key, item, since: None,
-        sleep=sleep,
+        sleep=_sleep_on(clock),
     )
     calls = ["list", "watch 5"]
     assert store.calls == (calls if is_refused or source == "store" else calls[:1])
--- a/filbertreach/platform/tests/test_deployment_store.py
+++ b/filbertreach/platform/tests/test_deployment_store.py
@@ -2,12 +2,18 @@
 
 import json
 import urllib.parse
+from typing import Any
 
 import anyio
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from filbertreach.observability import HttpServer, Receive, Scope, Send
-from filbertreach.platform import DeploymentStore, PlatformUnavailableError, StoredItem
+from filbertreach.platform import (
+    DeploymentStore,
+    PlatformError,
+    PlatformUnavailableError,
+    StoredItem,
+)
 from filbertreach_standins.ports import free_address
 
 _PAGE_BY_START = {
@@ -35,9 +41,10 @@
         await send({"type": "http.response.body", "body": body})
 
 
-def test_a_listing_with_an_empty_page_before_its_end_is_no_listing() -> None:
-    # Guards against leaves that seem to have left because a part of the listing is missing.
-    async def run() -> None:
+def _list_prefixes(*prefixes: str) -> list[Result[Any, PlatformError]]:
+    """Returns the listings of prefixes."""
+
+    async def run() -> list[Result[Any, PlatformError]]:
         address = free_address()
         server = HttpServer(address=address, application=_application, drain_seconds=1.0)
         async with (
@@ -45,31 +52,25 @@
             anyio.create_task_group() as group,
         ):
             await group.start(server.run)
-            result = await store.list_prefix("")
-            assert isinstance(result, Failure)
-            assert isinstance(result.failure(), PlatformUnavailableError)
-            whole = await store.list_prefix("b")
-            assert isinstance(whole, Success)
-            assert whole.unwrap().item_by_key == {"b/1": StoredItem("b/1", b"2", 2)}
-            assert whole.unwrap().epoch == 5
+            results = [await store.list_prefix(prefix) for prefix in prefixes]
             server.stop()
+        return results
+
+    return anyio.run(run)
 
-    anyio.run(run)
+
+def test_a_listing_with_an_empty_page_before_its_end_is_no_listing() -> None:
+    # Guards against leaves that seem to have left because a part of the listing is missing.
+    result, whole = _list_prefixes("", "b")
+    assert isinstance(result, Failure)
+    assert isinstance(result.failure(), PlatformUnavailableError)
+    assert isinstance(whole, Success)
+    assert whole.unwrap().item_by_key == {"b/1": StoredItem("b/1", b"2", 2)}
+    assert whole.unwrap().epoch == 5
 
 
 def test_a_listing_during_which_the_store_is_restored_is_no_listing() -> None:
     # Guards against a listing that mixes the keys of the store before and after it was restored.
-    async def run() -> None:
-        address = free_address()
-        server = HttpServer(address=address, application=_application, drain_seconds=1.0)
-        async with (
-            DeploymentStore(address=address, timeout_seconds=5.0) as store,
-            anyio.create_task_group() as group,
-        ):
-            await group.start(server.run)
-            result = await store.list_prefix("c")
-            assert isinstance(result, Failure)
-            assert isinstance(result.failure(), PlatformUnavailableError)
-            server.stop()
-
-    anyio.run(run)
+    (result,) = _list_prefixes("c")
+    assert isinstance(result, Failure)
+    assert isinstance(result.failure(), PlatformUnavailableError)
