--- a/filbertreach/gateway/_change_log.py
+++ b/filbertreach/gateway/_change_log.py
@@ -120,7 +120,7 @@
                 self._complete_after = max(self._complete_after, evicted.revision)
 
     def confirm(self, *, revision: int, as_of: float) -> None:
-        """Records that the log was up to date; if that is news, wakes calls of `changes_since`.
+        """Records that the log was up to date, and wakes `changes_since` if this is new.
 
         An answer that brings nothing new wakes none: hosts that follow each other in a circle would
         otherwise answer each other without a pause.
@@ -137,7 +137,7 @@
         self._notify()
 
     def set_reaches_store(self, reaches_store: bool) -> None:
-        """Sets whether this host can read the store; neighbours that wait are told if it can't.
+        """Sets whether this host can read the store; wakes `changes_since` when it no longer can.
 
         Args:
             reaches_store: Whether the last call of this host to the store succeeded.
--- a/filbertreach/gateway/_discovery.py
+++ b/filbertreach/gateway/_discovery.py
@@ -189,8 +189,8 @@
         self._started_at = clock.now()
         self._failure_count = 0
         self._retry_at = 0.0
-        self._must_list = True
-        """Whether the changes since the last known revision are lost, or none is known."""
+        self._must_list = False
+        """Whether changes after the last known revision are lost."""
         self._may_have_missed = False
         self._logged_source: str | None = ""
         STORE_AGE.set_function(lambda: clock.now() - max(self._started_at, change_log.as_of))
--- a/filbertreach/gateway/_neighbours.py
+++ b/filbertreach/gateway/_neighbours.py
@@ -9,15 +9,14 @@
 import random
 import urllib.parse
 import zlib
-from types import TracebackType
-from typing import NamedTuple, Self
+from typing import NamedTuple
 
 import anyio
 import msgspec
 from returns.result import Failure, Result, Success
 
 from filbertreach.observability import get_logger
-from filbertreach.platform import ChannelPool, ExchangeError, HttpResponse
+from filbertreach.platform import ChannelPoolClient, ExchangeError, HttpResponse
 from filbertreach.schema import (
     InvalidMessageError,
     JsonDecoder,
@@ -113,7 +112,7 @@
         self._until_by_name[name] = self._clock.now() + _EXCLUSION_SECONDS
 
 
-class Neighbours:
+class Neighbours(ChannelPoolClient):
     """Tracks gateways on other hosts, which announce themselves to the seeds; a context manager.
 
     The choice of a reader needs no agreement between hosts: if two hosts choose different readers,
@@ -132,6 +131,7 @@
             seeds: ip:port of a few hosts that collect announcements; some may not answer.
             clock: Source of time.
         """
+        super().__init__(timeout_seconds=EXCHANGE_TIMEOUT_SECONDS)
         self._own = KnownHost(name=host, address=address, data_centre=data_centre)
         self._seeds = [seed for seed in seeds if seed != address]
         self._clock = clock
@@ -144,20 +144,6 @@
         self._reader_exclusions = _Exclusions(clock=clock)
         self._quota_exclusions = _Exclusions(clock=clock)
         self._observation_exclusions = _Exclusions(clock=clock)
-        self._channels = ChannelPool(timeout_seconds=EXCHANGE_TIMEOUT_SECONDS)
-
-    async def __aenter__(self) -> Self:
-        """Returns this object; connections are opened on demand."""
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Closes all connections."""
-        await self._channels.__aexit__(kind, error, trace)
 
     # Membership.
 
--- a/filbertreach/gateway/_retry_handover.py
+++ b/filbertreach/gateway/_retry_handover.py
@@ -2,8 +2,7 @@
 
 import urllib.parse
 import zlib
-from types import TracebackType
-from typing import Protocol, Self
+from typing import Protocol
 
 import anyio
 import msgspec
@@ -15,7 +14,7 @@
     encode_histories,
 )
 from filbertreach.observability import get_logger
-from filbertreach.platform import ChannelPool, ExchangeError, HttpResponse
+from filbertreach.platform import ChannelPoolClient, ExchangeError, HttpResponse
 from filbertreach.schema import JsonDecoder, KnownHost, RetryHistories
 from filbertreach.timing import Clock
 
@@ -55,7 +54,7 @@
         """Continues with the budgets of the last process of the host."""
 
 
-class RetryHandover:
+class RetryHandover(ChannelPoolClient):
     """Exchanges the histories of retry budgets with other hosts; a context manager.
 
     If no other host answers, or this host is killed, the next process of this host counts all its
@@ -78,26 +77,13 @@
             budgets: Retry budgets of this host.
             clock: Source of time.
         """
+        super().__init__(timeout_seconds=_TIMEOUT_SECONDS)
         self.board = RetryHistoryBoard()
         """Histories that other hosts have handed over."""
         self._host = host
         self._hosts = hosts
         self._budgets = budgets
         self._clock = clock
-        self._channels = ChannelPool(timeout_seconds=_TIMEOUT_SECONDS)
-
-    async def __aenter__(self) -> Self:
-        """Returns this object; connections are opened on demand."""
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Closes all connections."""
-        await self._channels.__aexit__(kind, error, trace)
 
     def answer(self, host: str) -> RetryHistories:
         """Returns what is known of a host that starts.
--- a/filbertreach/leaf_observations/_client.py
+++ b/filbertreach/leaf_observations/_client.py
@@ -2,13 +2,11 @@
 
 import urllib.parse
 import zlib
-from types import TracebackType
-from typing import Self
 
 import msgspec
 
 from filbertreach.leaf_observations._metrics import OBSERVATION_EXCHANGES
-from filbertreach.platform import ChannelPool, ExchangeError, HttpResponse
+from filbertreach.platform import ChannelPoolClient, ExchangeError, HttpResponse
 from filbertreach.schema import JsonDecoder, LeafReports, MergedLeafStates
 
 REPORTS_PATH = "/v1/leaf-reports"
@@ -27,25 +25,12 @@
     """Another gateway gave no usable answer about leaves."""
 
 
-class ObservationClient:
+class ObservationClient(ChannelPoolClient):
     """Connections to gateways that merge observations; a context manager."""
 
     def __init__(self) -> None:
         """Creates a client without connections; they are opened when needed."""
-        self._channels = ChannelPool(timeout_seconds=REQUEST_TIMEOUT_SECONDS)
-
-    async def __aenter__(self) -> Self:
-        """Returns the client."""
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Closes all connections."""
-        await self._channels.__aexit__(kind, error, trace)
+        super().__init__(timeout_seconds=REQUEST_TIMEOUT_SECONDS)
 
     async def report(self, address: str, reports: LeafReports) -> None:
         """Sends observations.
--- a/filbertreach/platform/__init__.py
+++ b/filbertreach/platform/__init__.py
@@ -8,7 +8,7 @@
     load_boot,
 )
 from filbertreach.platform._channel import ExchangeError, HttpChannel, HttpResponse
-from filbertreach.platform._channel_pool import ChannelPool
+from filbertreach.platform._channel_pool import ChannelPool, ChannelPoolClient
 from filbertreach.platform._configuration_draft import (
     KEY_LABEL_DIGITS,
     MAX_DRAFT_PROBLEMS,
@@ -98,6 +98,7 @@
     "CallerAnswer",
     "CallerRequest",
     "ChannelPool",
+    "ChannelPoolClient",
     "ConfigurationDraft",
     "ConflictError",
     "DeploymentStore",
--- a/filbertreach/platform/_channel_pool.py
+++ b/filbertreach/platform/_channel_pool.py
@@ -54,3 +54,29 @@
             channel = HttpChannel(base_url=base_url(address), timeout_seconds=seconds)
             self._channel_by_target[address, path] = channel
         return channel
+
+
+class ChannelPoolClient:
+    """Base of clients of several hosts: a context manager over a pool of channels."""
+
+    def __init__(self, *, timeout_seconds: float) -> None:
+        """Creates a client; connections are opened when needed.
+
+        Args:
+            timeout_seconds: Time limit of a request with its response, unless a path has another.
+        """
+        self._channels = ChannelPool(timeout_seconds=timeout_seconds)
+
+    async def __aenter__(self) -> Self:
+        """Returns the client."""
+        await self._channels.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Closes all connections."""
+        await self._channels.__aexit__(kind, error, trace)
--- a/filbertreach/quotas/_client.py
+++ b/filbertreach/quotas/_client.py
@@ -1,12 +1,11 @@
 """HTTP exchanges about quotas with other gateways."""
 
 import zlib
-from types import TracebackType
-from typing import Self, TypeVar
+from typing import TypeVar
 
 import msgspec
 
-from filbertreach.platform import ChannelPool, ExchangeError
+from filbertreach.platform import ChannelPoolClient, ExchangeError
 from filbertreach.quotas._metrics import QUOTA_EXCHANGES
 from filbertreach.schema import (
     JsonDecoder,
@@ -39,25 +38,12 @@
     """Another gateway gave no usable answer about quotas."""
 
 
-class QuotaClient:
+class QuotaClient(ChannelPoolClient):
     """Connections to quota hosts and seeds; a context manager."""
 
     def __init__(self) -> None:
         """Creates a client without connections; they are opened when needed."""
-        self._channels = ChannelPool(timeout_seconds=_REPORT_TIMEOUT_SECONDS)
-
-    async def __aenter__(self) -> Self:
-        """Returns the client."""
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Closes all connections."""
-        await self._channels.__aexit__(kind, error, trace)
+        super().__init__(timeout_seconds=_REPORT_TIMEOUT_SECONDS)
 
     async def request(self, address: str, request: QuotaRequest) -> QuotaReply:
         """Asks a quota host for requests.
