--- a/review/common2/quotas.py
+++ b/review/common2/quotas.py
@@ -1,6 +1,7 @@
 """Tenants with a quota, as several cases use them: the leaves, the flood and the check."""
 
 import asyncio
+import itertools
 import random
 import time
 
@@ -8,6 +9,8 @@
 
 WINDOW, OVERRUN, SLACK = 5, 0.1, 20
 """`quota_window_s`, `quota_overrun` and `quota_slack` of songhan-parts-grown (demands/LATER.md)."""
+HOT_FACTOR, HOT_SECONDS = 7.5, 6.5
+"""`x` and `for_s` of the site's largest `hot_tenant` among its `troubles`."""
 
 
 class _Quiet:
@@ -61,28 +64,49 @@
             text["tenants"].append({**tenant, "rate_per_s": self._rate, "burst": self._burst})
         deployment.store.put({"op/config": text})
 
-    async def flood(self, gateways: list[Gateway], *, clients: int, seconds: float) -> None:
-        """Sends more than the quota, by clients with kept connections at all gateways."""
-        until = time.monotonic() + seconds
+    async def send(
+        self, gateways: list[Gateway], *, usual: float, clients: int, usual_s: float
+    ) -> None:
+        """Sends the tenant's usual traffic, and then `hot_tenant` at the dose of the site.
+
+        Args:
+            gateways: Where the clients connect, each to one.
+            usual: Requests per second of the tenant, below its rate.
+            clients: Number of clients, each with a kept connection.
+            usual_s: Seconds of usual traffic before the tenant becomes hot.
+        """
+        hot_from = time.monotonic() + usual_s
+        until = hot_from + HOT_SECONDS
         statuses: dict[int, int] = {}
 
         async def send_requests(number: int) -> None:
             client = Client(gateways[number % len(gateways)].front)
             headers = [("X-Api-Key", "key-1")]
-            count = 0
-            while time.monotonic() < until:
-                count += 1
+            for count in itertools.count():
+                now = time.monotonic()
+                pause = random.expovariate(usual / clients)
+                # The rest of a usual pause passes faster once the tenant is hot.
+                before = min(pause, max(0.0, hot_from - now))
+                await asyncio.sleep(before + (pause - before) / HOT_FACTOR)
+                if time.monotonic() >= until:
+                    break
                 request_id = f"r-{number}-{count}"
                 self._sent_by_id[request_id] = self._record.now()
                 result = await client.request(
                     "/stock/x", request_id, deadline_ms=2000, headers=headers, timeout=3.0
                 )
                 statuses[result.status] = statuses.get(result.status, 0) + 1
-                await asyncio.sleep(random.uniform(0.1, 0.3))
+                if not result.status:
+                    client.close()
+                    client = Client(gateways[number % len(gateways)].front)
             client.close()
 
-        self._record.write("the tenant sends more than its quota")
-        await asyncio.gather(*(send_requests(number) for number in range(clients)))
+        async def note() -> None:
+            await asyncio.sleep(hot_from - time.monotonic())
+            self._record.write(f"the tenant sends {usual * HOT_FACTOR:g} a second from now on")
+
+        self._record.write(f"the tenant sends its usual {usual:g} requests a second")
+        await asyncio.gather(note(), *(send_requests(number) for number in range(clients)))
         self._record.write(f"answers by status: {statuses}")
 
     def is_held(self) -> bool:
